--- /dev/null
+++ b/src/core/chestnutgw.h
@@ -0,0 +1,802 @@
+#pragma once
+
+// The decision core of chestnutgw, readable from top to bottom.
+//
+// Nothing in here knows a socket, a thread or a clock: time is passed in, randomness comes from a seeded generator and
+// effects are returned as values. One object is used by one thread at a time; the programs put each behind a shard's lock
+// or on one event loop.
+//
+// Sections
+//   1. Sheet and configuration rows
+//   2. Configuration fold
+//   3. Fleet: backend servers as routing sees them
+//   4. Routing
+//   5. Pipeline session
+//   6. Claims: calls that may not be repeated
+//   7. Membership
+//   8. Retries
+//   9. Reasons
+
+#include "kernel/ids.h"
+#include "kernel/verdict.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include <pcg_random.hpp>
+
+namespace chestnut
+{
+
+//-----------------------------------------------------------------------------
+// 1. Sheet and configuration rows
+//-----------------------------------------------------------------------------
+
+// One object of the sheet. Which columns a kind uses is fixed by the column table in sheet.cpp.
+struct config_row {
+    std::string kind; // account, model, version, grant, server, service or replica
+    std::string name; // unique within kind and of
+    std::string of; // parent: model of a version, model/version of a grant, service of a replica
+    std::string failureDomain; // of a server or replica
+    std::string address; // IP:port of a server or replica
+    std::string accelerator; // kind of accelerator of a server
+    int layers = 0; // of a model
+    double weight = 1; // account: share under contention; server: largest number of concurrent streams
+    double worth = 1; // account: worth of one request completed in time
+    double tokensPerSecond = 0; // account: limit over all instances, 0 = none
+    int deadlineMs = 0; // account, service: longest useful answer time, 0 = none
+    std::string keySha256; // account: SHA-256 of its bearer key, lower-case hexadecimal
+    std::string repeat; // service: repeatable, once or deduplicated
+    std::string checksFence; // server: yes if its engine refuses old fencing numbers, else no
+    std::string state; // active, suspended (account), retired (version) or draining (server, replica)
+
+    bool operator==(const config_row &) const = default;
+    // Identity of the row: kind/of/name.
+    std::string key() const;
+};
+
+// A fault in a sheet. Rows count from 1 with the header as row 1, as a spreadsheet shows them.
+struct sheet_problem {
+    int row = 0; // 0 = the sheet as a whole
+    std::string column; // empty = the row as a whole
+    std::string message; // what is wrong and what is allowed
+};
+
+struct parsed_sheet {
+    std::vector<config_row> rows; // valid only without problems
+    std::vector<sheet_problem> problems; // every fault found
+};
+
+// Parses and checks a CSV sheet, including references between rows.
+parsed_sheet parseSheet(std::string_view csv);
+
+// Writes rows as a CSV sheet that parseSheet() reads back to the same rows.
+std::string formatSheet(const std::vector<config_row> &rows);
+
+using config_rows = std::map<std::string, config_row>; // by key()
+
+// References between rows that do not resolve, row = 0 in each.
+std::vector<sheet_problem> checkReferences(const config_rows &rows);
+
+//-----------------------------------------------------------------------------
+// 2. Configuration fold
+//-----------------------------------------------------------------------------
+
+// A row set (row has a value) or removed (it has none).
+struct row_change {
+    std::string key; // config_row::key()
+    std::optional<config_row> row; // new content
+};
+
+// A proposed change, as appended to the log.
+struct config_change {
+    std::string id; // unique; a change appended twice counts once
+    std::string author; // operator, for the audit trail
+    log_offset base; // offset in force at the place where the change was made
+    std::vector<row_change> rows; // what to change
+};
+
+enum class change_outcome {
+    accepted, // in force
+    conflict, // a touched row was changed by someone else after the base
+    invalid, // the merged configuration would have references that do not resolve
+    stale, // the base is older than the fold remembers
+};
+
+std::string_view toText(change_outcome outcome);
+
+struct change_result {
+    log_offset offset; // of the change's first record
+    change_outcome outcome = change_outcome::accepted;
+    std::string detail; // first row in the way
+};
+
+// Text of a change as stored in the log (JSON).
+std::string encodeChange(const config_change &change);
+
+// What a reader does with a record.
+enum class fold_step {
+    applied, // the record moved the fold forward
+    buffered, // kept until a snapshot gives the fold its start
+    ignored, // already folded, a duplicate, a snapshot not needed, or not a configuration record
+};
+
+// Folds the configuration stream. The result is a pure function of the records up to the applied offset, whether the
+// reader started at the first record or at any snapshot.
+class config_fold
+{
+public:
+    // Number of offsets for which conflicts can be told; an older base is stale.
+    static constexpr std::uint64_t MEMORY_RECORDS = 20000;
+
+    // Folds one record. Offsets must arrive in rising order, without gaps once started; older ones are ignored.
+    // Records that cannot be decoded count as empty, at every reader alike.
+    fold_step apply(log_offset offset, std::string_view record);
+
+    // True once the rows are complete: the fold saw the first record or a snapshot.
+    bool started() const
+    {
+        return m_started;
+    }
+    // Marks a stream that holds no record below its first offset as complete.
+    void startEmpty();
+    log_offset applied() const
+    {
+        return m_applied;
+    }
+    const config_rows &rows() const
+    {
+        return m_rows;
+    }
+    // Rows in force at an earlier offset. Empty if that is not remembered.
+    std::optional<config_rows> rowsAt(log_offset offset) const;
+    // Result of a change, by its id.
+    std::optional<change_result> resultOf(const std::string &id) const;
+    // A record that lets another reader start as of applied().
+    std::string encodeSnapshot() const;
+    // Number of records undecodable so far.
+    std::uint64_t undecodable() const
+    {
+        return m_undecodable;
+    }
+
+private:
+    struct journal_entry {
+        log_offset offset; // of the change
+        std::string key; // row touched
+        std::optional<config_row> before; // its content before
+    };
+
+    void applyChange(log_offset offset, const config_change &change);
+    void loadSnapshot(std::string_view record);
+    bool takeOver(std::string_view record);
+    change_outcome judge(const config_change &change, log_offset offset, std::string &detail) const;
+    void forget();
+
+    bool m_started = false;
+    log_offset m_applied;
+    config_rows m_rows;
+    std::map<std::string, log_offset> m_touched; // last change of each row, removed ones included
+    std::map<std::string, change_result> m_results; // by change id
+    std::deque<std::pair<log_offset, std::string>> m_resultOrder; // for forgetting
+    std::deque<journal_entry> m_journal; // for rowsAt()
+    log_offset m_journalStart; // rowsAt() reaches back to this offset
+    std::map<log_offset, std::string> m_buffered; // records before the start
+    std::uint64_t m_undecodable = 0;
+};
+
+// Changes that turn one set of rows into another.
+std::vector<row_change> diffRows(const config_rows &from, const config_rows &to);
+
+// A client account with what it may use.
+struct account_settings {
+    account_id id;
+    double weight = 1; // share under contention
+    double worth = 1; // of one request completed in time
+    double tokensPerSecond = 0; // limit over all instances, 0 = none
+    milliseconds deadline{0}; // longest useful answer time, 0 = none
+    bool suspended = false; // refused
+    std::map<model_id, std::set<std::string>> grants; // active versions by model
+};
+
+enum class repeat_policy {
+    repeatable, // idempotent: may be sent again
+    once, // must not run twice: claimed by key
+    deduplicated, // the service itself runs each key once
+};
+
+struct service_replica {
+    std::string name;
+    std::string address; // IP:port
+    domain_id domain; // failure domain
+    bool draining = false; // gets no new calls
+};
+
+struct service_settings {
+    service_id id;
+    repeat_policy repeat = repeat_policy::once;
+    milliseconds deadline{0}; // longest useful answer time, 0 = none
+    std::vector<service_replica> replicas;
+};
+
+// A configuration in the form the data path reads. Immutable once built.
+struct deployment {
+    log_offset offset; // as of
+    std::map<std::string, account_settings> accountsByKey; // by key_sha256
+    std::map<model_id, int> layers; // of each model
+    std::map<service_id, service_settings> services;
+    config_rows rows; // everything
+};
+
+deployment parseDeployment(const config_rows &rows, log_offset offset);
+
+//-----------------------------------------------------------------------------
+// 3. Fleet: backend servers as routing sees them
+//-----------------------------------------------------------------------------
+
+// A part of a model held by a server.
+struct holding {
+    model_id model;
+    std::string version;
+    layer_range range;
+
+    auto operator<=>(const holding &) const = default;
+};
+
+// A server's own load report. Lags behind by the polling interval.
+struct server_report {
+    std::vector<holding> holdings; // what its engine says it holds; routing trusts nothing else
+    int active = 0; // activations in service
+    int queued = 0; // activations waiting
+    int slots = 1; // activations served at once
+    double layerMs = 1; // service time of one layer for one token
+    int streams = 0; // streams that pass through the server
+    bool leaving = false; // asks for no new work
+};
+
+// One backend server as one instance of chestnutgw sees it.
+struct fleet_server {
+    server_id id;
+    std::string address; // IP:port
+    domain_id domain; // failure domain
+    bool draining = false; // by operator
+    bool listed = true; // not marked as leaving in the platform's instance list
+    std::optional<server_report> report; // latest; none = never reached
+    steady_time reportedAt; // when it was received
+    int inFlight = 0; // own streams through the server
+    int startedSinceReport = 0; // own streams that the report cannot show yet
+    int endedSinceReport = 0; // own streams that ended after the report
+    double delayFactor = 1; // measured service time over the one predicted from reports, smoothed
+    int failures = 0; // consecutive failures of own attempts
+    steady_time ejectedUntil; // no work before
+    int probes = 0; // own streams sent since the ejection ended
+
+    // Why the server gets no new work now; empty = it does.
+    std::string_view unusable(steady_time now) const;
+};
+
+// Link between two servers, or from an instance to a first stage, learnt from traffic.
+struct link_estimate {
+    double delayMs = 0; // smoothed one-way delay
+    int samples = 0; // number of measurements
+};
+
+// All backend servers with what is known of them.
+class fleet
+{
+public:
+    std::map<server_id, fleet_server> servers;
+
+    // Takes over the server rows of a configuration; learnt state of servers that stay is kept.
+    void configure(const config_rows &rows);
+    void recordReport(const server_id &id, server_report report, steady_time now);
+    // One own stream begins or ends on each stage of a chain.
+    void recordStart(const server_id &id);
+    void recordEnd(const server_id &id);
+    // A stage failed an attempt. Ejects a server after repeated failures, within a cap on how many may be out.
+    void recordFailure(const server_id &id, steady_time now);
+    void recordSuccess(const server_id &id);
+    // A measured hop, from = empty for an instance's own link.
+    void recordLink(const server_id &from, const server_id &to, double delayMs);
+    // Expected one-way delay in milliseconds; an unknown pair counts as the mean of what is known of its target.
+    double linkMs(const server_id &from, const server_id &to) const;
+    // Servers out by ejection at this time.
+    int ejectedCount(steady_time now) const;
+
+private:
+    std::map<std::pair<server_id, server_id>, link_estimate> m_links;
+    std::map<server_id, link_estimate> m_inbound; // over all sources
+};
+
+//-----------------------------------------------------------------------------
+// 4. Routing
+//-----------------------------------------------------------------------------
+
+struct chain_stage {
+    server_id server;
+    std::string address; // IP:port
+    layer_range range;
+
+    bool operator==(const chain_stage &) const = default;
+};
+
+// Servers whose ranges cover all layers of a model exactly, in order.
+struct pipeline_chain {
+    std::vector<chain_stage> stages;
+    double cost = 0; // in the policy's measure
+};
+
+struct route_query {
+    model_id model;
+    std::string version; // pinned for the whole answer
+    int layers = 0; // of the model
+    std::set<server_id> avoid; // servers that failed this request already
+    steady_time now;
+};
+
+// Rates one stage of a chain. Registered by name in plugin_registry<routing_policy>; one new file adds one.
+class routing_policy
+{
+public:
+    virtual ~routing_policy() = default;
+    // Cost of sending this stage's work to a server; previous = nullptr for the first stage.
+    virtual double stageCost(const fleet &servers, const fleet_server *previous, const fleet_server &candidate, const layer_range &range, pcg32 &random) = 0;
+    // Called with the chosen chain.
+    virtual void chosen(const pipeline_chain &)
+    {
+    }
+};
+
+// Predicted milliseconds per token at one stage, waiting and link included.
+double predictStageMs(const fleet &servers, const fleet_server *previous, const fleet_server &candidate, const layer_range &range);
+
+// Cheapest chain under a policy; none if the usable servers cover the model nowhere.
+std::optional<pipeline_chain> chooseChain(const fleet &servers, const route_query &query, routing_policy &policy, pcg32 &random);
+
+//-----------------------------------------------------------------------------
+// 5. Pipeline session
+//-----------------------------------------------------------------------------
+
+// One token as it came back from a chain.
+struct token_event {
+    attempt_number attempt;
+    int index = 0; // position in the answer, from 0
+    std::string text;
+    std::string version; // of the model, as the stages ran it
+    std::vector<layer_range> ranges; // layers that ran for this token, in order
+};
+
+enum class token_verdict {
+    deliver, // next token of the answer
+    stale, // from an older attempt: drop
+    violation, // out of order, wrong layers or wrong version: the attempt is void
+};
+
+// One request for tokens over its attempts. The caller sees one stream without gap or repeat.
+class pipeline_session
+{
+public:
+    pipeline_session(request_id id, int layers, std::string version, int maxTokens);
+
+    // Starts a new attempt over a chain; later events of older attempts are stale.
+    attempt_number begin(const pipeline_chain &chain);
+    token_verdict accept(const token_event &event);
+    // The chain says that the answer is complete. False if it is not, or the attempt is not the current one.
+    bool complete(attempt_number attempt, int tokens, const std::string &reason);
+
+    const request_id &id() const
+    {
+        return m_id;
+    }
+    const std::vector<std::string> &tokens() const
+    {
+        return m_tokens;
+    }
+    const std::string &version() const
+    {
+        return m_version;
+    }
+    const std::string &finishReason() const
+    {
+        return m_finishReason;
+    }
+    int maxTokens() const
+    {
+        return m_maxTokens;
+    }
+    attempt_number attempt() const
+    {
+        return m_attempt;
+    }
+    bool isComplete() const
+    {
+        return !m_finishReason.empty();
+    }
+
+private:
+    request_id m_id;
+    int m_layers;
+    std::string m_version;
+    int m_maxTokens;
+    attempt_number m_attempt;
+    pipeline_chain m_chain;
+    std::vector<std::string> m_tokens;
+    std::string m_finishReason;
+};
+
+//-----------------------------------------------------------------------------
+// 6. Claims: calls that may not be repeated
+//-----------------------------------------------------------------------------
+
+// One entry of the claims stream. The first claim of a key in offset order wins; only the winner may dispatch.
+struct claim_record {
+    enum class kind {
+        claim, // an instance asks for the key
+        outcome, // the winner tells how the call ended; not_run frees the key
+    };
+    kind type = kind::claim;
+    std::string key; // account/service/idempotency key
+    std::string attempt; // unique over all instances and time
+    std::string fingerprint; // hash of the request, so that a key is not reused for another
+    verdict ran = verdict::not_run; // outcome: how the call ended
+    int status = 0; // outcome: HTTP status
+    std::string contentType; // outcome: of the body
+    std::string body; // outcome: answer, up to a bound
+    bool truncated = false; // outcome: the body was over the bound and is left out
+};
+
+std::string encodeClaim(const claim_record &record);
+// Throws std::invalid_argument on text that is no claim record.
+claim_record decodeClaim(std::string_view text);
+
+// State of one key after the folded records.
+struct claim_state {
+    std::string winner; // attempt that may dispatch
+    std::string fingerprint; // of the winner's request
+    std::int64_t claimedAtMs = 0; // log service's clock
+    std::optional<claim_record> outcome; // once recorded, never changed
+};
+
+// Fold of the claims stream: a pure function of the records and their append times.
+class claim_table
+{
+public:
+    // window: how long a key is remembered, by the log service's clock.
+    explicit claim_table(milliseconds window)
+        : m_window(window)
+    {
+    }
+
+    // Folds one record; records at or below applied() are ignored. Returns the key it concerns, empty if none.
+    std::string apply(log_offset offset, std::int64_t timeMs, const claim_record &record);
+    // A record that could not be decoded still moves the fold.
+    void skip(log_offset offset);
+    const claim_state *find(const std::string &key) const;
+    log_offset applied() const
+    {
+        return m_applied;
+    }
+    std::size_t size() const
+    {
+        return m_keys.size();
+    }
+    // Starts anew, before the first record at or above offset, when the log no longer has the next one.
+    void reset(log_offset next);
+
+private:
+    void expire(std::int64_t nowMs);
+
+    milliseconds m_window;
+    log_offset m_applied;
+    std::int64_t m_latestMs = 0;
+    std::unordered_map<std::string, claim_state> m_keys;
+    std::deque<std::pair<std::int64_t, std::string>> m_order; // by claim time
+    std::unordered_map<std::string, std::int64_t> m_seenAttempts; // an attempt counts once, also after it freed its key
+    std::deque<std::pair<std::int64_t, std::string>> m_attemptOrder;
+};
+
+struct claim_limits {
+    milliseconds window{600'000}; // keys are remembered this long; less than the log's retention
+    milliseconds dispatchLimit{5'000}; // a winner that has not sent by then never sends; far inside the window
+    milliseconds retryUnknown{300}; // an append without an answer is tried again under a new attempt after this
+    std::size_t maxBatch = 128; // records in one append
+    std::size_t maxWaiting = 4096; // tickets waiting; more are refused at once
+};
+
+using claim_ticket = std::uint64_t; // one caller's wait, unique in a desk
+
+// What the desk decided on a ticket.
+struct claim_decision {
+    enum class kind {
+        dispatch, // the key is won: send now, once, then call finished()
+        recorded, // the call ended earlier: answer with outcome
+        lost_winner, // another attempt holds the key and told no outcome in time: may_have_run
+        mismatch, // the key was used for another request: not_run
+        refused, // the log cannot be reached: not_run
+        expired, // the deadline passed before the claim was settled: not_run
+    };
+    claim_ticket ticket = 0;
+    kind type = kind::refused;
+    std::string attempt; // dispatch: the winning attempt
+    steady_time sendBefore; // dispatch: not to be sent later than this
+    claim_record outcome; // recorded
+};
+
+// Result of an append as seen by the writer.
+enum class append_status {
+    appended, // the records are in the log
+    refused, // certain: they are not
+    throttled, // certain: they are not, because of the log's rate limit
+    unknown, // no answer: they may be
+};
+
+// Settles claims for the callers of one instance. Driven by four inputs: submissions, append results, folded records, time.
+class claim_desk
+{
+public:
+    claim_desk(instance_id instance, std::uint64_t incarnation, claim_limits limits);
+
+    // A caller's call. Decisions come out of takeDecisions().
+    claim_ticket submit(const std::string &key, const std::string &fingerprint, steady_time now, steady_time deadline);
+    // The caller's ticket no longer matters; a claim won later is freed.
+    void abandon(claim_ticket ticket);
+    // True if the dispatch may still be sent; to be asked right before the send.
+    bool mayDispatch(claim_ticket ticket, steady_time now) const;
+    // The dispatched call ended.
+    void finished(claim_ticket ticket, claim_record outcome);
+
+    // Records for the next append; empty if none are due or one is in flight.
+    std::vector<std::string> takeBatch(steady_time now);
+    void appendEnded(append_status status, steady_time now);
+    // One record of the claims stream, in order.
+    void fold(log_offset offset, std::int64_t timeMs, std::string_view record, steady_time now);
+    // The log no longer has the records after the fold; everything up to next is lost.
+    void foldReset(log_offset next);
+    // Moves deadlines forward.
+    void tick(steady_time now);
+    std::vector<claim_decision> takeDecisions();
+
+    // Callers are served only after the window has been folded.
+    bool ready() const
+    {
+        return m_ready;
+    }
+    void setReady(bool ready)
+    {
+        m_ready = ready;
+    }
+    const claim_table &table() const
+    {
+        return m_table;
+    }
+    // Appends not confirmed or dispatched calls without a recorded outcome.
+    std::size_t unsettled() const;
+    std::uint64_t undecodable() const
+    {
+        return m_undecodable;
+    }
+    // True while the latest append failed.
+    bool logDown() const
+    {
+        return m_logDown;
+    }
+
+private:
+    enum class stage {
+        queued, // waits for the next append
+        appending, // in the append in flight
+        appended, // in the log, not folded yet
+        unknown, // the append had no answer
+        waiting_outcome, // another attempt holds the key
+        dispatched, // won and handed to the caller
+    };
+    struct waiting {
+        std::string key; // claimed
+        std::string fingerprint; // of the request
+        steady_time submitted; // for the dispatch limit
+        steady_time deadline; // of the caller
+        stage at = stage::queued; // where the ticket is
+        std::set<std::string> attempts; // all attempts appended or tried for this ticket
+        std::string winner; // attempt that won, once dispatched
+        steady_time retryAt; // stage unknown: next try
+    };
+
+    void decide(claim_ticket ticket, claim_decision::kind type, const claim_record *outcome = nullptr);
+    void settleFromTable(claim_ticket ticket, steady_time now);
+    void queueClaim(claim_ticket ticket);
+    void forgetTicket(claim_ticket ticket);
+    void freeKey(const std::string &key, const std::string &attempt);
+    bool ownAttempt(const std::string &attempt) const;
+    bool hasLiveTicket(const std::string &key, const std::string &attempt) const;
+
+    std::string m_prefix; // of own attempts
+    claim_limits m_limits;
+    claim_table m_table;
+    bool m_ready = false;
+    bool m_logDown = false;
+    std::uint64_t m_nextTicket = 1;
+    std::uint64_t m_nextAttempt = 1;
+    std::map<claim_ticket, waiting> m_waiting;
+    std::unordered_map<std::string, std::set<claim_ticket>> m_ticketsOfKey;
+    std::deque<claim_ticket> m_queue; // claims to append
+    std::deque<std::string> m_outcomes; // encoded outcomes to append
+    std::vector<claim_ticket> m_batchTickets; // in flight
+    std::vector<std::string> m_batchOutcomes; // in flight
+    std::vector<std::string> m_batch; // in flight, encoded
+    std::set<std::string> m_dispatchedAttempts; // own attempts that were handed out for sending; never freed as not_run by anyone but finished()
+    steady_time m_probeAt; // while the log is down: when the next claim may try it
+    steady_time m_retryAppendAt; // no append before
+    std::uint64_t m_undecodable = 0;
+    std::vector<claim_decision> m_decisions;
+};
+
+//-----------------------------------------------------------------------------
+// 7. Membership
+//-----------------------------------------------------------------------------
+
+// What an account asked of one instance lately.
+struct account_demand {
+    account_id account;
+    double offered = 0; // tokens per second asked for, smoothed
+    double used = 0; // tokens per second admitted, smoothed
+};
+
+// One instance of chestnutgw as it describes itself. Rows spread unchanged from instance to instance.
+struct member {
+    instance_id id;
+    domain_id domain; // failure domain
+    std::string address; // IP:port of its peer service
+    std::uint64_t incarnation = 0; // start of the process, ms since the epoch
+    std::uint64_t sequence = 0; // rises with each heartbeat
+    log_offset configOffset; // configuration in force
+    log_offset claimsOffset; // claims folded
+    bool leaving = false; // shuts down
+    int streams = 0; // requests in flight
+    std::vector<account_demand> demand; // accounts with traffic
+};
+
+enum class member_state {
+    alive,
+    suspect, // silent for longer than its rhythm explains
+    dead, // silent for long: no share of any limit
+};
+
+struct membership_limits {
+    milliseconds heartbeat{500}; // own sequence rises this often
+    milliseconds remoteInterval{4000}; // unchanged rows of other failure domains are sent on this often
+    double suspectFactor = 4; // silence beyond so many mean intervals makes a suspect
+    milliseconds suspectFloor{1500}; // but never before this
+    milliseconds deadAfter{8000}; // silence that makes a member dead
+    milliseconds forgetAfter{60'000}; // a dead member is dropped
+    int relays = 2; // instances of a failure domain that speak to each other domain
+};
+
+// View of the other instances. Symmetric: whoever exchanges with us is known to us.
+class membership
+{
+public:
+    membership(member self, membership_limits limits);
+
+    member &self()
+    {
+        return m_self;
+    }
+    // Raises the own sequence if the heartbeat is due. True if it did.
+    bool beat(steady_time now);
+    // Addresses known from settings or the instance list, used until the member behind each is known.
+    void addSeed(const std::string &address);
+    // Peers to exchange with in this round: the own failure domain, and others where this instance is a relay.
+    std::vector<std::string> targets(steady_time now) const;
+    // Rows that the peer at this address may not have yet.
+    std::vector<member> rowsFor(const std::string &address, steady_time now);
+    // The last rows for this peer did not arrive: they are sent again.
+    void exchangeFailed(const std::string &address);
+    // Takes over rows received from anyone.
+    void merge(const std::vector<member> &rows, steady_time now);
+    member_state state(const instance_id &id, steady_time now) const;
+    // Live members, this instance included.
+    std::vector<member> alive(steady_time now) const;
+    std::vector<std::pair<member, member_state>> all(steady_time now) const;
+    // Counts changes of any member's state; for logging. Returns members whose state changed since the last call.
+    std::vector<std::pair<member, member_state>> takeChanges(steady_time now);
+
+private:
+    struct known_member {
+        member row;
+        steady_time heardAt; // when its sequence last rose
+        double meanIntervalMs = 0; // between rises
+        member_state reported = member_state::alive; // by takeChanges()
+    };
+    struct sent_row {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        std::uint64_t content = 0; // hash of all but the sequence
+        steady_time at;
+    };
+
+    bool dueFor(const member &row, const sent_row &sent, bool sameDomain, steady_time now) const;
+    bool isRelay(const domain_id &other, steady_time now) const;
+
+    member m_self;
+    membership_limits m_limits;
+    steady_time m_beatAt;
+    std::set<std::string> m_seeds;
+    std::map<instance_id, known_member> m_members;
+    std::map<std::string, std::map<instance_id, sent_row>> m_sent; // by peer address
+};
+
+//-----------------------------------------------------------------------------
+// 8. Retries
+//-----------------------------------------------------------------------------
+
+// Retries draw on a share of recent first attempts, so that an outage brings no storm of them.
+class retry_budget
+{
+public:
+    // share: retries per first attempt; reserve: retries always possible at once.
+    retry_budget(double share, double reserve)
+        : m_share(share)
+        , m_reserve(reserve)
+        , m_tokens(reserve)
+    {
+    }
+    void recordFirstAttempt();
+    // Takes one retry from the budget; false if there is none.
+    bool take();
+
+private:
+    double m_share;
+    double m_reserve;
+    double m_tokens;
+};
+
+// Delay before the n-th retry (from 1): none for the first, then doubling with jitter.
+milliseconds retryDelay(int retry, pcg32 &random);
+
+//-----------------------------------------------------------------------------
+// 9. Reasons
+//-----------------------------------------------------------------------------
+
+// Why something was decided. Counted in the metric chestnutgw_decisions_total and shown by `chestnutctl explain`.
+enum class decision_reason {
+    admitted,
+    completed,
+    refused_account_unknown,
+    refused_account_suspended,
+    refused_not_granted,
+    refused_rate,
+    refused_overload,
+    refused_deadline,
+    refused_no_chain,
+    refused_log_down,
+    refused_shutdown,
+    stage_failed,
+    stage_silent,
+    stage_left,
+    token_rejected,
+    resumed,
+    retry_budget_empty,
+    gave_up,
+    caller_gone,
+    claim_won,
+    claim_recorded,
+    claim_lost,
+    claim_mismatch,
+    claim_expired,
+    dispatched,
+    dispatch_failed,
+    outcome_recorded,
+};
+
+std::string_view toText(decision_reason reason);
+
+}
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,153 @@
+#include "core/chestnutgw.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr int FAILURES_TO_EJECT = 3; // consecutive failed attempts
+constexpr double EJECTED_SHARE = 0.34; // at most this share of the servers is out by ejection
+constexpr milliseconds EJECTION_TIME{2000}; // first ejection; doubles with each further failure
+constexpr int LONGEST_EJECTION_DOUBLINGS = 4; // 32 s
+constexpr double LINK_SMOOTHING = 0.2; // weight of a new link measurement
+constexpr double UNKNOWN_LINK_MS = 1; // before any measurement
+
+void smooth(link_estimate &estimate, double delayMs)
+{
+    const double weight = estimate.samples == 0 ? 1 : LINK_SMOOTHING;
+    estimate.delayMs += weight * (delayMs - estimate.delayMs);
+    ++estimate.samples;
+}
+
+}
+
+std::string_view fleet_server::unusable(steady_time now) const
+{
+    if (draining) {
+        return "draining";
+    }
+    if (!listed) {
+        return "leaving by the instance list";
+    }
+    if (!report) {
+        return "no report";
+    }
+    if (report->leaving) {
+        return "leaving";
+    }
+    if (now < ejectedUntil) {
+        return "ejected";
+    }
+    if (failures >= FAILURES_TO_EJECT && inFlight > 0) {
+        return "probing"; // one stream at a time until one succeeds
+    }
+    return {};
+}
+
+void fleet::configure(const config_rows &rows)
+{
+    std::map<server_id, fleet_server> next;
+    for (const auto &[key, row] : rows) {
+        if (row.kind != "server") {
+            continue;
+        }
+        const server_id id{row.name};
+        const auto known = servers.find(id);
+        // A server under a new address is another server: nothing learnt of the old one holds.
+        const bool same = known != servers.end() && known->second.address == row.address;
+        fleet_server one = same ? std::move(known->second) : fleet_server();
+        one.id = id;
+        one.address = row.address;
+        one.domain = domain_id{row.failureDomain};
+        one.draining = row.state == "draining";
+        next.emplace(id, std::move(one));
+    }
+    servers = std::move(next);
+}
+
+void fleet::recordReport(const server_id &id, server_report report, steady_time now)
+{
+    const auto found = servers.find(id);
+    if (found == servers.end()) {
+        return;
+    }
+    fleet_server &one = found->second;
+    one.report = std::move(report);
+    one.reportedAt = now;
+    one.startedSinceReport = 0;
+    one.endedSinceReport = 0;
+}
+
+void fleet::recordStart(const server_id &id)
+{
+    const auto found = servers.find(id);
+    if (found != servers.end()) {
+        ++found->second.inFlight;
+        ++found->second.startedSinceReport;
+    }
+}
+
+void fleet::recordEnd(const server_id &id)
+{
+    const auto found = servers.find(id);
+    if (found != servers.end()) {
+        found->second.inFlight = std::max(0, found->second.inFlight - 1);
+        ++found->second.endedSinceReport;
+    }
+}
+
+void fleet::recordFailure(const server_id &id, steady_time now)
+{
+    const auto found = servers.find(id);
+    if (found == servers.end()) {
+        return;
+    }
+    fleet_server &one = found->second;
+    ++one.failures;
+    if (one.failures < FAILURES_TO_EJECT || now < one.ejectedUntil) {
+        return;
+    }
+    const int cap = std::max(1, static_cast<int>(static_cast<double>(servers.size()) * EJECTED_SHARE));
+    if (ejectedCount(now) >= cap) {
+        return;
+    }
+    const int doublings = std::min(one.failures - FAILURES_TO_EJECT, LONGEST_EJECTION_DOUBLINGS);
+    one.ejectedUntil = now + EJECTION_TIME * (1 << doublings);
+}
+
+void fleet::recordSuccess(const server_id &id)
+{
+    const auto found = servers.find(id);
+    if (found != servers.end()) {
+        found->second.failures = 0;
+        found->second.ejectedUntil = steady_time();
+    }
+}
+
+void fleet::recordLink(const server_id &from, const server_id &to, double delayMs)
+{
+    smooth(m_links[{from, to}], delayMs);
+    smooth(m_inbound[to], delayMs);
+}
+
+double fleet::linkMs(const server_id &from, const server_id &to) const
+{
+    if (const auto found = m_links.find({from, to}); found != m_links.end()) {
+        return found->second.delayMs;
+    }
+    if (const auto found = m_inbound.find(to); found != m_inbound.end()) {
+        return found->second.delayMs;
+    }
+    return UNKNOWN_LINK_MS;
+}
+
+int fleet::ejectedCount(steady_time now) const
+{
+    return static_cast<int>(std::count_if(servers.begin(), servers.end(), [now](const auto &entry) { return now < entry.second.ejectedUntil; }));
+}
+
+}
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,207 @@
+#include "core/chestnutgw.h"
+#include "kernel/hash.h"
+
+#include <algorithm>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr double INTERVAL_SMOOTHING = 0.2; // weight of a new interval between heartbeats
+
+std::uint64_t contentHash(const member &row)
+{
+    std::uint64_t state = hashBytes(row.address + "|" + row.domain.text + (row.leaving ? "|leaving" : ""));
+    state = mixHash(state, row.configOffset.value);
+    return mixHash(state, static_cast<std::uint64_t>(row.demand.size()));
+}
+
+bool newer(const member &row, const member &known)
+{
+    return row.incarnation != known.incarnation ? row.incarnation > known.incarnation : row.sequence > known.sequence;
+}
+
+std::uint64_t rendezvous(const std::string &a, const std::string &b, const std::string &c)
+{
+    return hashBytes(a + "|" + b + "|" + c);
+}
+
+}
+
+membership::membership(member self, membership_limits limits)
+    : m_self(std::move(self))
+    , m_limits(limits)
+{
+}
+
+bool membership::beat(steady_time now)
+{
+    if (now < m_beatAt) {
+        return false;
+    }
+    m_beatAt = now + m_limits.heartbeat;
+    ++m_self.sequence;
+    return true;
+}
+
+void membership::addSeed(const std::string &address)
+{
+    if (address != m_self.address) {
+        m_seeds.insert(address);
+    }
+}
+
+member_state membership::state(const instance_id &id, steady_time now) const
+{
+    if (id == m_self.id) {
+        return member_state::alive;
+    }
+    const auto found = m_members.find(id);
+    if (found == m_members.end()) {
+        return member_state::dead;
+    }
+    const known_member &one = found->second;
+    const auto silence = now - one.heardAt;
+    if (silence > m_limits.deadAfter) {
+        return member_state::dead;
+    }
+    const double allowedMs = std::max(one.meanIntervalMs * m_limits.suspectFactor, static_cast<double>(m_limits.suspectFloor.count()));
+    return toSeconds(silence) * 1000 > allowedMs ? member_state::suspect : member_state::alive;
+}
+
+bool membership::isRelay(const domain_id &other, steady_time now) const
+{
+    const std::uint64_t own = rendezvous(m_self.domain.text, other.text, m_self.id.text);
+    int ahead = 0;
+    for (const auto &[id, one] : m_members) {
+        const bool rival = one.row.domain == m_self.domain && !one.row.leaving && state(id, now) == member_state::alive;
+        ahead += rival && rendezvous(m_self.domain.text, other.text, id.text) > own ? 1 : 0;
+    }
+    return ahead < m_limits.relays;
+}
+
+std::vector<std::string> membership::targets(steady_time now) const
+{
+    std::vector<std::string> addresses;
+    std::map<domain_id, std::pair<std::uint64_t, std::string>> remote; // best instance of each other domain
+    std::set<std::string> knownAddresses;
+    for (const auto &[id, one] : m_members) {
+        const member_state is = state(id, now);
+        knownAddresses.insert(one.row.address);
+        if (one.row.domain == m_self.domain) {
+            addresses.push_back(one.row.address);
+            continue;
+        }
+        if (is == member_state::alive && !one.row.leaving) {
+            const std::uint64_t rank = rendezvous(m_self.id.text, one.row.domain.text, id.text);
+            remote[one.row.domain] = std::max(remote[one.row.domain], {rank, one.row.address});
+        } else {
+            remote.try_emplace(one.row.domain, 0, one.row.address); // a domain all of whose instances are silent is still tried
+        }
+    }
+    for (const auto &[domain, best] : remote) {
+        if (isRelay(domain, now)) {
+            addresses.push_back(best.second);
+        }
+    }
+    for (const std::string &seed : m_seeds) {
+        if (!knownAddresses.contains(seed)) {
+            addresses.push_back(seed);
+        }
+    }
+    return addresses;
+}
+
+bool membership::dueFor(const member &row, const sent_row &sent, bool sameDomain, steady_time now) const
+{
+    if (row.incarnation == sent.incarnation && row.sequence <= sent.sequence) {
+        return false;
+    }
+    const bool changed = row.incarnation != sent.incarnation || contentHash(row) != sent.content;
+    return changed || sameDomain || now - sent.at >= m_limits.remoteInterval;
+}
+
+std::vector<member> membership::rowsFor(const std::string &address, steady_time now)
+{
+    std::map<instance_id, sent_row> &sent = m_sent[address];
+    std::vector<member> rows;
+    for (const auto &[id, one] : m_members) {
+        const bool alive = state(id, now) == member_state::alive;
+        if (!alive || one.row.address == address || !dueFor(one.row, sent[id], one.row.domain == m_self.domain, now)) {
+            continue;
+        }
+        sent[id] = {one.row.incarnation, one.row.sequence, contentHash(one.row), now};
+        rows.push_back(one.row);
+    }
+    return rows;
+}
+
+void membership::exchangeFailed(const std::string &address)
+{
+    m_sent.erase(address);
+}
+
+void membership::merge(const std::vector<member> &rows, steady_time now)
+{
+    for (const member &row : rows) {
+        if (row.id == m_self.id || row.id.empty()) {
+            continue;
+        }
+        const auto found = m_members.find(row.id);
+        if (found == m_members.end()) {
+            known_member one;
+            one.row = row;
+            one.heardAt = now;
+            m_members.emplace(row.id, std::move(one));
+            continue;
+        }
+        known_member &one = found->second;
+        if (!newer(row, one.row)) {
+            continue;
+        }
+        const double intervalMs = toSeconds(now - one.heardAt) * 1000;
+        if (state(row.id, now) == member_state::alive) {
+            one.meanIntervalMs += (one.meanIntervalMs == 0 ? 1 : INTERVAL_SMOOTHING) * (intervalMs - one.meanIntervalMs);
+        }
+        one.row = row;
+        one.heardAt = now;
+    }
+    std::erase_if(m_members, [&](const auto &entry) { return now - entry.second.heardAt > m_limits.forgetAfter; });
+}
+
+std::vector<member> membership::alive(steady_time now) const
+{
+    std::vector<member> rows{m_self};
+    for (const auto &[id, one] : m_members) {
+        if (state(id, now) == member_state::alive) {
+            rows.push_back(one.row);
+        }
+    }
+    return rows;
+}
+
+std::vector<std::pair<member, member_state>> membership::all(steady_time now) const
+{
+    std::vector<std::pair<member, member_state>> rows{{m_self, member_state::alive}};
+    for (const auto &[id, one] : m_members) {
+        rows.emplace_back(one.row, state(id, now));
+    }
+    return rows;
+}
+
+std::vector<std::pair<member, member_state>> membership::takeChanges(steady_time now)
+{
+    std::vector<std::pair<member, member_state>> changes;
+    for (auto &[id, one] : m_members) {
+        const member_state is = state(id, now);
+        if (is != one.reported) {
+            one.reported = is;
+            changes.emplace_back(one.row, is);
+        }
+    }
+    return changes;
+}
+
+}
--- /dev/null
+++ b/src/core/session.cpp
@@ -0,0 +1,83 @@
+// Pipeline session. The steps of spec/pipeline.pml name the functions here.
+
+#include "core/chestnutgw.h"
+
+namespace chestnut
+{
+
+namespace
+{
+
+// True if the ranges that ran are those of the chain, in order, and so cover each layer once.
+bool ranAsPlanned(const std::vector<layer_range> &ran, const pipeline_chain &chain)
+{
+    if (ran.size() != chain.stages.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < ran.size(); ++i) {
+        if (ran[i] != chain.stages[i].range) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool coversAllLayers(const pipeline_chain &chain, int layers)
+{
+    int next = 0;
+    for (const chain_stage &stage : chain.stages) {
+        if (stage.range.first != next || stage.range.last <= next) {
+            return false;
+        }
+        next = stage.range.last;
+    }
+    return next == layers;
+}
+
+}
+
+pipeline_session::pipeline_session(request_id id, int layers, std::string version, int maxTokens)
+    : m_id(std::move(id))
+    , m_layers(layers)
+    , m_version(std::move(version))
+    , m_maxTokens(maxTokens)
+{
+}
+
+// Step BEGIN of spec/pipeline.pml.
+attempt_number pipeline_session::begin(const pipeline_chain &chain)
+{
+    if (!coversAllLayers(chain, m_layers)) {
+        throw std::invalid_argument("the chain does not cover the layers of the model once, in order");
+    }
+    m_chain = chain;
+    ++m_attempt.value;
+    return m_attempt;
+}
+
+// Step ACCEPT of spec/pipeline.pml.
+token_verdict pipeline_session::accept(const token_event &event)
+{
+    if (event.attempt != m_attempt || isComplete()) {
+        return token_verdict::stale;
+    }
+    const bool inOrder = event.index == static_cast<int>(m_tokens.size()) && event.index < m_maxTokens;
+    if (!inOrder || event.version != m_version || !ranAsPlanned(event.ranges, m_chain)) {
+        return token_verdict::violation;
+    }
+    m_tokens.push_back(event.text);
+    return token_verdict::deliver;
+}
+
+// Step COMPLETE of spec/pipeline.pml.
+bool pipeline_session::complete(attempt_number attempt, int tokens, const std::string &reason)
+{
+    const bool whole = tokens == static_cast<int>(m_tokens.size()) && (reason == "stop" || (reason == "length" && tokens == m_maxTokens));
+    if (attempt != m_attempt || isComplete() || !whole) {
+        return false;
+    }
+    m_finishReason = reason;
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/entry/config_service.cpp
@@ -0,0 +1,156 @@
+#include "entry/config_service.h"
+
+#include "kernel/log.h"
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr std::size_t RECENT_RECORDS = 2000; // kept for peers
+constexpr milliseconds APPEND_RETRY{300}; // after an append that did not succeed
+
+}
+
+config_service::config_service(entry_shared &shared, event_loop &loop, log_service &direct, log_service &relayed, peer_node &peers)
+    : m_shared(shared)
+    , m_loop(loop)
+    , m_relayed(relayed)
+    , m_follower(loop, direct, CONFIG_STREAM,
+                 {[this](const std::vector<log_entry> &entries) { takeEntries(entries); }, [this](log_offset oldest) { restart(oldest); },
+                  [this] {
+                      m_fold.startEmpty();
+                      putIntoForce();
+                  },
+                  [](bool reachable) { logLine(log_level::warning, reachable ? "log_reachable" : "log_unreachable", {{"stream", CONFIG_STREAM}}); }})
+    , m_confirmedAt(std::chrono::steady_clock::now())
+{
+    m_follower.setFallback([&peers](const std::string &stream, log_offset from, std::function<void(read_result)> done) { peers.readThroughPeers(stream, from, std::move(done)); });
+}
+
+void config_service::start()
+{
+    m_follower.start({});
+}
+
+milliseconds config_service::age() const
+{
+    if (m_follower.reachable()) {
+        return milliseconds(0);
+    }
+    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_confirmedAt);
+}
+
+void config_service::takeEntries(const std::vector<log_entry> &entries)
+{
+    if (m_follower.reachable()) {
+        m_confirmedAt = std::chrono::steady_clock::now();
+    }
+    const log_offset before = m_fold.applied();
+    for (const log_entry &entry : entries) {
+        if (m_next) {
+            m_next->apply(entry.offset, entry.data);
+            continue;
+        }
+        m_fold.apply(entry.offset, entry.data);
+        m_recent.push_back(entry);
+        if (m_recent.size() > RECENT_RECORDS) {
+            m_recent.pop_front();
+        }
+    }
+    if (m_next && m_next->started() && m_next->applied() >= m_fold.applied()) {
+        m_fold = std::move(*m_next);
+        m_next.reset();
+        m_recent.clear();
+    }
+    if (m_fold.applied() > before) {
+        putIntoForce();
+    }
+    settlePending();
+}
+
+// The log no longer has the records after ours: a later snapshot gives a new start. Until then the rows in force stay.
+void config_service::restart(log_offset oldest)
+{
+    logLine(log_level::warning, "config_records_lost", {{"applied", std::to_string(m_fold.applied().value)}, {"oldest", std::to_string(oldest.value)}});
+    m_next = std::make_unique<config_fold>();
+}
+
+void config_service::putIntoForce()
+{
+    if (!m_fold.started()) {
+        return;
+    }
+    auto next = std::make_shared<const deployment>(parseDeployment(m_fold.rows(), m_fold.applied()));
+    m_shared.servers.with([&](fleet &servers) { servers.configure(next->rows); });
+    m_shared.current.store(next);
+    m_shared.counters.set("chestnutgw_config_offset", static_cast<double>(m_fold.applied().value));
+    logLine(log_level::info, "config_in_force", {{"offset", std::to_string(m_fold.applied().value)}, {"rows", std::to_string(m_fold.rows().size())}});
+}
+
+read_result config_service::recordsFor(log_offset from) const
+{
+    read_result result;
+    result.ok = m_fold.started();
+    result.next = log_offset{m_fold.applied().value + 1};
+    result.oldest = m_recent.empty() ? result.next : m_recent.front().offset;
+    if (from.value < result.oldest.value && from <= m_fold.applied()) {
+        result.oldest = from;
+        result.entries.push_back({m_fold.applied(), wallClockMs(), m_fold.encodeSnapshot()});
+        return result;
+    }
+    for (const log_entry &entry : m_recent) {
+        if (entry.offset >= from) {
+            result.entries.push_back(entry);
+        }
+    }
+    return result;
+}
+
+void config_service::publish(config_change change, milliseconds patience, std::function<void(std::optional<change_result>)> done)
+{
+    const std::string id = change.id;
+    if (const auto known = m_fold.resultOf(id)) {
+        done(known);
+        return;
+    }
+    const steady_time deadline = std::chrono::steady_clock::now() + patience;
+    m_pending[id] = {std::move(change), deadline, std::move(done)};
+    tryAppend(id);
+}
+
+void config_service::tryAppend(const std::string &id)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    if (std::chrono::steady_clock::now() >= found->second.deadline) {
+        const auto done = std::move(found->second.done);
+        m_pending.erase(found);
+        done(std::nullopt);
+        return;
+    }
+    m_relayed.append(CONFIG_STREAM, {encodeChange(found->second.change)}, [this, id](const append_result &result) {
+        // Whatever the answer, only the fold settles the change; the id makes a second append harmless.
+        const milliseconds pause = result.status == append_status::appended ? APPEND_RETRY * 10 : APPEND_RETRY;
+        m_loop.after(pause, [this, id] { tryAppend(id); });
+    });
+}
+
+void config_service::settlePending()
+{
+    for (auto at = m_pending.begin(); at != m_pending.end();) {
+        const auto result = m_fold.resultOf(at->first);
+        if (!result) {
+            ++at;
+            continue;
+        }
+        const auto done = std::move(at->second.done);
+        at = m_pending.erase(at);
+        done(result);
+    }
+}
+
+}
--- /dev/null
+++ b/src/entry/config_service.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "entry/shared_state.h"
+#include "kernel/event_loop.h"
+#include "peer/peer_node.h"
+#include "platform/stream_follower.h"
+
+namespace chestnut
+{
+
+constexpr const char *CONFIG_STREAM = "config";
+
+// Follows the configuration stream, puts it into force in this process and appends operators' sheets. Control loop only.
+class config_service
+{
+public:
+    config_service(entry_shared &shared, event_loop &loop, log_service &direct, log_service &relayed, peer_node &peers);
+
+    void start();
+    // Peers tell that this offset exists.
+    void hint(log_offset known)
+    {
+        m_follower.hint(known);
+    }
+    // Records above an offset for a peer, or a snapshot if they are no longer held.
+    read_result recordsFor(log_offset from) const;
+    // Appends a change and reports its result once folded. Retries through log outages until the deadline.
+    void publish(config_change change, milliseconds patience, std::function<void(std::optional<change_result>)> done);
+
+    const config_fold &fold() const
+    {
+        return m_fold;
+    }
+    bool logReachable() const
+    {
+        return m_follower.reachable();
+    }
+    // Time since the log last confirmed that this is the newest configuration.
+    milliseconds age() const;
+
+private:
+    struct pending_change {
+        config_change change;
+        steady_time deadline;
+        std::function<void(std::optional<change_result>)> done;
+    };
+
+    void takeEntries(const std::vector<log_entry> &entries);
+    void restart(log_offset oldest);
+    void putIntoForce();
+    void settlePending();
+    void tryAppend(const std::string &id);
+
+    entry_shared &m_shared;
+    event_loop &m_loop;
+    log_service &m_relayed;
+    stream_follower m_follower;
+    config_fold m_fold;
+    std::unique_ptr<config_fold> m_next; // being rebuilt after records were lost
+    std::deque<log_entry> m_recent; // for peers
+    std::map<std::string, pending_change> m_pending; // by change id
+    steady_time m_confirmedAt; // last contact with the log
+};
+
+}
--- /dev/null
+++ b/src/entry/entry_settings.cpp
@@ -0,0 +1,66 @@
+#include "entry/entry_settings.h"
+
+#include "kernel/log.h"
+
+namespace chestnut
+{
+
+const setting_row<entry_settings> ENTRY_SETTINGS[32] = {
+    {"instance.name", &entry_settings::name, 1, 100, "text", "instance name, unique in the deployment"},
+    {"instance.failure_domain", &entry_settings::failureDomain, 1, 100, "text", "failure domain of this instance"},
+    {"instance.address", &entry_settings::address, 7, 15, "IP number", "address that callers and peers reach"},
+    {"instance.port", &entry_settings::port, 0, 65535, "TCP port", "caller and operator HTTP, 0 = any free one"},
+    {"instance.peer_port", &entry_settings::peerPort, 0, 65535, "TCP port", "peer gRPC, 0 = any free one"},
+    {"instance.peers", &entry_settings::peers, 0, 100000, "IP:port,...", "peers to start from"},
+    {"instance.shards", &entry_settings::shards, 1, 64, "threads", "event loops that carry requests"},
+    {"instance.http_threads", &entry_settings::httpThreads, 1, 64, "threads", "threads that move callers' bytes"},
+    {"instance.max_body", &entry_settings::maxBodyBytes, 1024, 1 << 28, "bytes", "larger request bodies get 413"},
+    {"instance.drain_limit", &entry_settings::drainLimit, 0, 600000, "ms", "longest wait for requests in flight at shutdown"},
+    {"operator.key_sha256", &entry_settings::operatorKeySha256, 0, 64, "hex", "SHA-256 of the operators' bearer key, empty = operator paths are open"},
+    {"platform.log_adapter", &entry_settings::logAdapter, 1, 50, "plug-in", "adapter for the log service"},
+    {"platform.log_url", &entry_settings::logUrl, 1, 300, "URL", "log service"},
+    {"platform.list_adapter", &entry_settings::listAdapter, 1, 50, "plug-in", "adapter for the instance list"},
+    {"platform.list_url", &entry_settings::listUrl, 0, 300, "URL", "instance list, empty = none"},
+    {"platform.log_retention", &entry_settings::logRetention, 1000, 1e12, "ms", "time for which the log service keeps records"},
+    {"backend.engine_adapter", &entry_settings::engineAdapter, 1, 50, "plug-in", "adapter for model engines"},
+    {"backend.report_interval", &entry_settings::reportInterval, 20, 60000, "ms", "load reports of each server are fetched this often"},
+    {"backend.first_token_timeout", &entry_settings::firstTokenTimeout, 50, 600000, "ms", "an attempt without a token for so long is silent"},
+    {"backend.token_timeout", &entry_settings::tokenTimeout, 50, 600000, "ms", "longest silence between two tokens"},
+    {"backend.max_attempts", &entry_settings::maxAttempts, 1, 100, "attempts", "chains tried for one request"},
+    {"backend.retry_share", &entry_settings::retryShare, 0, 10, "retries per request", "retry budget"},
+    {"routing.policy", &entry_settings::routingPolicy, 1, 50, "plug-in", "predicted, least_outstanding, round_robin or random"},
+    {"routing.seed", &entry_settings::seed, 0, 2e9, "number", "seed of random choices"},
+    {"routing.default_deadline", &entry_settings::defaultDeadline, 10, 1e9, "ms", "for accounts without one"},
+    {"claims.key_window", &entry_settings::keyWindow, 1000, 1e12, "ms", "idempotency keys are remembered this long"},
+    {"claims.dispatch_limit", &entry_settings::dispatchLimit, 10, 1e9, "ms", "a claim that has not been sent by then never is"},
+    {"claims.append_interval", &entry_settings::appendInterval, 0, 10000, "ms", "shortest time between two appends of claims"},
+    {"claims.max_outcome", &entry_settings::maxOutcomeBytes, 0, 1 << 24, "bytes", "larger answers are not recorded for repeats"},
+    {"log.format", &entry_settings::logFormat, 4, 4, "word", "text or json"},
+    {"log.level", &entry_settings::logLevel, 4, 7, "word", "debug, info, warning or error"},
+    {"test.faults", &entry_settings::testFaults, 0, 1, "yes/no", "accept PUT /test/faults, for failure tests"},
+};
+
+void checkSettings(const entry_settings &settings)
+{
+    constexpr double WINDOW_SHARE = 0.5; // of the retention; the rest is the margin for clocks and slow readers
+    constexpr int DISPATCH_FACTOR = 10; // the dispatch limit is at most this fraction of the window
+    if (settings.logFormat != "text" && settings.logFormat != "json") {
+        throw settings_error("log.format: '" + settings.logFormat + "' (allowed: text or json)");
+    }
+    try {
+        parseLogLevel(settings.logLevel);
+    } catch (const std::invalid_argument &problem) {
+        throw settings_error(std::string("log.level: ") + problem.what());
+    }
+    if (settings.logUrl.empty()) {
+        throw settings_error("platform.log_url: must be given");
+    }
+    if (static_cast<double>(settings.keyWindow.count()) > WINDOW_SHARE * static_cast<double>(settings.logRetention.count())) {
+        throw settings_error("claims.key_window: must be at most half of platform.log_retention");
+    }
+    if (settings.dispatchLimit * DISPATCH_FACTOR > settings.keyWindow) {
+        throw settings_error("claims.dispatch_limit: must be at most a tenth of claims.key_window");
+    }
+}
+
+}
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,182 @@
+// chestnutgw-entry: carries callers' requests. Wiring only; see docs/DESIGN.md for the parts.
+
+#include "entry/http_surface.h"
+#include "entry/load_monitor.h"
+#include "kernel/log.h"
+#include "kernel/registry.h"
+#include "kernel/scope.h"
+
+#include <sstream>
+#include <thread>
+
+namespace
+{
+
+using namespace chestnut;
+
+constexpr milliseconds SELF_REFRESH{200}; // own membership row
+constexpr milliseconds DRAIN_STEP{50};
+
+member describeSelf(const entry_settings &settings, std::uint64_t incarnation)
+{
+    member self;
+    self.id = instance_id{settings.name};
+    self.domain = domain_id{settings.failureDomain};
+    self.incarnation = incarnation;
+    return self;
+}
+
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');) {
+        if (!part.empty()) {
+            parts.push_back(part);
+        }
+    }
+    return parts;
+}
+
+// All parts of one entry process, in the order in which they depend on each other.
+class entry_process
+{
+public:
+    explicit entry_process(const entry_settings &settings)
+        : m_shared(settings)
+        , m_incarnation(static_cast<std::uint64_t>(wallClockMs()))
+        , m_control("control")
+        , m_log(plugin_registry<log_service, event_loop &, const std::string &>::instance().make(settings.logAdapter, m_control, settings.logUrl))
+        , m_list(settings.listUrl.empty() ? nullptr : plugin_registry<instance_list, event_loop &, const std::string &>::instance().make(settings.listAdapter, m_control, settings.listUrl))
+        , m_engines(plugin_registry<engine_adapter, event_loop &>::instance().make(settings.engineAdapter, m_control))
+        , m_members(describeSelf(settings, m_incarnation), {})
+        , m_peers(m_control, m_shared.counters, m_members, settings.address + ":" + std::to_string(settings.peerPort), peerHandler())
+        , m_relayed(*m_log, m_peers)
+        , m_config(m_shared, m_control, *m_log, m_relayed, m_peers)
+        , m_claims(m_shared, m_control, *m_log, m_relayed, m_peers, m_incarnation)
+        , m_monitor(m_shared, m_control, *m_engines, m_list.get())
+        , m_serviceLoop("services")
+        , m_services(m_shared, m_serviceLoop, m_claims, static_cast<std::uint64_t>(settings.seed))
+    {
+        for (int i = 0; i < settings.shards; ++i) {
+            m_shardLoops.push_back(std::make_unique<event_loop>("shard-" + std::to_string(i)));
+            auto engines = plugin_registry<engine_adapter, event_loop &>::instance().make(settings.engineAdapter, *m_shardLoops.back());
+            m_pipelines.push_back(std::make_unique<pipeline_driver>(m_shared, *m_shardLoops.back(), std::move(engines), static_cast<std::uint64_t>(settings.seed + i)));
+        }
+        m_surface = std::make_unique<http_surface>(m_shared, surface_parts{m_control, m_config, m_claims, m_members, m_peers, m_pipelines, m_services});
+        startControl();
+        http_server_options options;
+        options.address = settings.address;
+        options.port = static_cast<std::uint16_t>(settings.port);
+        options.threads = static_cast<unsigned>(settings.httpThreads);
+        options.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+        m_server = std::make_unique<http_server>(options, [this](const std::shared_ptr<http_call> &call) { m_surface->handle(call); });
+    }
+
+    std::string describe() const
+    {
+        return "listening on " + m_shared.settings.address + ":" + std::to_string(m_server->port()) + " peers " + m_shared.settings.address + ":" + std::to_string(m_peers.port());
+    }
+
+    // Ends every request in flight whole, within the drain limit.
+    void drain()
+    {
+        logLine(log_level::info, "draining", {{"in_flight", std::to_string(m_shared.inFlight.load())}});
+        m_shared.leaving = true;
+        const steady_time limit = std::chrono::steady_clock::now() + m_shared.settings.drainLimit;
+        while (busy() && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(DRAIN_STEP);
+        }
+        logLine(log_level::info, "drained", {{"in_flight", std::to_string(m_shared.inFlight.load())}});
+    }
+
+private:
+    peer_handler peerHandler()
+    {
+        peer_handler handler;
+        handler.read = [this](const std::string &stream, log_offset from, const std::function<void(read_result)> &done) {
+            if (stream == CONFIG_STREAM) {
+                done(m_config.recordsFor(from));
+                return;
+            }
+            m_log->read(stream, from, 2000, milliseconds(0), done);
+        };
+        handler.append = [this](const std::string &stream, std::vector<std::string> records, std::function<void(append_result)> done) { m_log->append(stream, std::move(records), std::move(done)); };
+        handler.onExchange = [this](const std::vector<member> &rows) {
+            for (const member &row : rows) {
+                m_config.hint(row.configOffset);
+            }
+        };
+        return handler;
+    }
+
+    void startControl()
+    {
+        m_control.run([this] {
+            m_members.self().address = m_shared.settings.address + ":" + std::to_string(m_peers.port());
+            for (const std::string &seed : splitList(m_shared.settings.peers)) {
+                m_members.addSeed(seed);
+            }
+            m_config.start();
+            m_claims.start();
+            m_monitor.start();
+            refreshSelf();
+        });
+        m_peers.start();
+    }
+
+    void refreshSelf()
+    {
+        member &self = m_members.self();
+        self.configOffset = m_config.fold().applied();
+        self.claimsOffset = m_claims.desk().table().applied();
+        self.leaving = m_shared.leaving;
+        self.streams = m_shared.inFlight;
+        m_control.after(SELF_REFRESH, [this] { refreshSelf(); });
+    }
+
+    bool busy()
+    {
+        std::size_t unsettled = 0;
+        m_control.run([&] { unsettled = m_claims.desk().unsettled(); });
+        return m_shared.inFlight > 0 || unsettled > 0 || m_server->openCalls() > 0;
+    }
+
+    entry_shared m_shared;
+    std::uint64_t m_incarnation;
+    event_loop m_control;
+    std::unique_ptr<log_service> m_log;
+    std::unique_ptr<instance_list> m_list;
+    std::unique_ptr<engine_adapter> m_engines;
+    membership m_members;
+    peer_node m_peers;
+    relayed_log m_relayed;
+    config_service m_config;
+    ledger m_claims;
+    load_monitor m_monitor;
+    event_loop m_serviceLoop;
+    service_driver m_services;
+    std::vector<std::unique_ptr<event_loop>> m_shardLoops;
+    std::vector<std::unique_ptr<pipeline_driver>> m_pipelines;
+    std::unique_ptr<http_surface> m_surface;
+    std::unique_ptr<http_server> m_server;
+};
+
+int run(const entry_settings &settings)
+{
+    startLog("chestnutgw-entry", settings.logFormat, parseLogLevel(settings.logLevel));
+    auto process = std::make_unique<entry_process>(settings);
+    printLine(process->describe());
+    waitForTermination();
+    process->drain();
+    // Nothing is left to save, and the loops hold callbacks into each other: ending the process is the clean-up.
+    std::_Exit(0);
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    chestnut::blockTerminationSignals();
+    return chestnut::runProgram(argc, argv, "chestnutgw-entry", "Carries callers' requests over pipelines of backend servers", chestnut::ENTRY_SETTINGS, run);
+}
--- /dev/null
+++ b/src/entry/service_driver.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "entry/ledger.h"
+#include "entry/shared_state.h"
+#include "kernel/http_server.h"
+
+#include <memory>
+
+namespace chestnut
+{
+
+// Routes calls to plain services: repeatable ones with retries, others through a claim and once. One event loop.
+class service_driver
+{
+public:
+    service_driver(entry_shared &shared, event_loop &loop, ledger &claims, std::uint64_t seed);
+
+    // Takes over an authorised call to /services/NAME/PATH. Any thread.
+    void start(std::shared_ptr<http_call> call, account_settings account, service_settings service, const std::string &path);
+
+private:
+    struct run;
+    using run_pointer = std::shared_ptr<run>;
+
+    void claimThenSend(const run_pointer &self);
+    void decided(const run_pointer &self, const claim_decision &decision);
+    void send(const run_pointer &self);
+    void handleAnswer(const run_pointer &self, const service_replica &replica, const http_result &result);
+    void settle(const run_pointer &self, verdict ran, int status, const std::string &contentType, const std::string &body);
+    const service_replica *chooseReplica(const run_pointer &self);
+    void answerRecorded(const run_pointer &self, const claim_record &outcome);
+    void refuse(const run_pointer &self, int status, decision_reason reason, const std::string &message, verdict ran, milliseconds retryAfter);
+    void close(const run_pointer &self);
+
+    struct replica_health {
+        int failures = 0; // consecutive
+        steady_time avoidUntil;
+        int inFlight = 0;
+    };
+
+    entry_shared &m_shared;
+    event_loop &m_loop;
+    ledger &m_claims;
+    pcg32 m_random;
+    std::map<std::string, replica_health> m_health; // by address
+};
+
+}
--- /dev/null
+++ b/src/entry/shared_state.cpp
@@ -0,0 +1,63 @@
+#include "entry/shared_state.h"
+
+#include "kernel/registry.h"
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr std::size_t REMEMBERED_REQUESTS = 2000; // for each shard of the decision log
+constexpr std::size_t REMEMBERED_DECISIONS = 64; // for each request
+constexpr double RETRY_RESERVE = 50; // retries possible at once after a calm time
+
+}
+
+std::int64_t wallClockMs()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void decision_log::record(const request_id &request, decision_reason reason, const std::string &detail)
+{
+    m_counters.count("chestnutgw_decisions_total", {{"reason", std::string(toText(reason))}});
+    m_shards.with(request.text, [&](shard_state &state) {
+        auto &entries = state.byRequest[request.text];
+        if (entries.empty()) {
+            state.order.push_back(request.text);
+        }
+        if (entries.size() < REMEMBERED_DECISIONS) {
+            entries.push_back({wallClockMs(), reason, detail});
+        }
+        if (state.order.size() > REMEMBERED_REQUESTS) {
+            state.byRequest.erase(state.order.front());
+            state.order.pop_front();
+        }
+    });
+}
+
+std::vector<decision_entry> decision_log::find(const request_id &request)
+{
+    return m_shards.with(request.text, [&](const shard_state &state) {
+        const auto found = state.byRequest.find(request.text);
+        return found == state.byRequest.end() ? std::vector<decision_entry>() : found->second;
+    });
+}
+
+entry_shared::entry_shared(const entry_settings &given)
+    : settings(given)
+    , decisions(counters)
+    , servers(plugin_registry<routing_policy>::instance().make(given.routingPolicy), static_cast<std::uint64_t>(given.seed))
+    , current(std::make_shared<const deployment>())
+    , budget(given.retryShare, RETRY_RESERVE)
+    , m_idPrefix(given.name + "-" + std::to_string(wallClockMs()) + "-")
+{
+}
+
+request_id entry_shared::newRequestId()
+{
+    return request_id{m_idPrefix + std::to_string(nextRequest++)};
+}
+
+}
--- /dev/null
+++ b/src/entry/shared_state.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "core/chestnutgw.h"
+#include "entry/entry_settings.h"
+#include "kernel/metrics.h"
+#include "kernel/sharded.h"
+
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <mutex>
+
+namespace chestnut
+{
+
+// One decision about a request, as `chestnutctl explain` shows it.
+struct decision_entry {
+    std::int64_t timeMs = 0; // since the epoch
+    decision_reason reason = decision_reason::admitted;
+    std::string detail; // servers, codes, offsets
+};
+
+// Remembers the decisions on recent requests. Any thread.
+class decision_log
+{
+public:
+    explicit decision_log(metrics &counters)
+        : m_counters(counters)
+    {
+    }
+    void record(const request_id &request, decision_reason reason, const std::string &detail);
+    std::vector<decision_entry> find(const request_id &request);
+
+private:
+    struct shard_state {
+        std::unordered_map<std::string, std::vector<decision_entry>> byRequest;
+        std::deque<std::string> order; // for forgetting
+    };
+
+    metrics &m_counters;
+    sharded<shard_state> m_shards;
+};
+
+// The fleet with its policy and generator, under one lock.
+class shared_fleet
+{
+public:
+    shared_fleet(std::unique_ptr<routing_policy> policy, std::uint64_t seed)
+        : m_policy(std::move(policy))
+        , m_random(seed)
+    {
+    }
+    // Calls use(fleet &) with the lock held.
+    template<typename callable>
+    auto with(callable use)
+    {
+        const std::lock_guard lock(m_mutex);
+        return use(m_fleet);
+    }
+    std::optional<pipeline_chain> choose(const route_query &query)
+    {
+        const std::lock_guard lock(m_mutex);
+        return chooseChain(m_fleet, query, *m_policy, m_random);
+    }
+
+private:
+    std::mutex m_mutex; // guards all below
+    fleet m_fleet;
+    std::unique_ptr<routing_policy> m_policy;
+    pcg32 m_random;
+};
+
+// What the parts of one entry process share.
+struct entry_shared {
+    explicit entry_shared(const entry_settings &given);
+
+    entry_settings settings;
+    metrics counters;
+    decision_log decisions;
+    shared_fleet servers;
+    std::atomic<std::shared_ptr<const deployment>> current; // configuration in force
+    std::atomic<bool> leaving = false; // shuts down: no new work
+    std::atomic<int> inFlight = 0; // requests being answered
+    std::atomic<std::uint64_t> nextRequest = 1;
+    std::mutex budgetMutex; // guards budget
+    retry_budget budget;
+
+    // A new id, unique over instances and restarts.
+    request_id newRequestId();
+
+private:
+    std::string m_idPrefix;
+};
+
+// Milliseconds since the epoch, for people and for the log; never for decisions.
+std::int64_t wallClockMs();
+
+}
--- /dev/null
+++ b/src/kernel/event_loop.cpp
@@ -0,0 +1,501 @@
+// Sections: curl glue, transfers, timers and tasks, public interface.
+
+#include "kernel/event_loop.h"
+
+#include "kernel/scope.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <curl/curl.h>
+#include <future>
+#include <map>
+#include <mutex>
+#include <pthread.h>
+#include <stdexcept>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unordered_map>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr int MAX_EVENTS = 256; // epoll events taken at once
+constexpr long MAX_IDLE_CONNECTIONS = 512; // kept-alive connections of one loop
+constexpr long IDLE_CONNECTION_SECONDS = 20; // a kept-alive connection idle for longer is not reused
+
+struct curl_global {
+    curl_global()
+    {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+    }
+};
+
+struct transfer {
+    transfer_id id = 0; // key in the table
+    CURL *easy = nullptr; // owned
+    curl_slist *headers = nullptr; // owned
+    http_request request; // kept alive for the body
+    transfer_handler handler; // the caller's callbacks
+    http_result result; // being filled
+    steady_time lastByte; // time of the last received byte
+    timer_id idleTimer = 0; // watches request.idleTimeout
+
+    ~transfer()
+    {
+        curl_easy_cleanup(easy);
+        curl_slist_free_all(headers);
+    }
+};
+
+long statusOf(CURL *easy)
+{
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    return status;
+}
+
+size_t writeBody(char *data, size_t size, size_t count, void *user)
+{
+    auto *self = static_cast<transfer *>(user);
+    const std::string_view piece(data, size * count);
+    self->lastByte = std::chrono::steady_clock::now();
+    const long status = statusOf(self->easy);
+    if (self->handler.onData && status >= 200 && status < 300) {
+        self->handler.onData(static_cast<int>(status), piece);
+    } else {
+        self->result.body.append(piece);
+    }
+    return piece.size();
+}
+
+// Returns the value if the line is the named header, else an empty view.
+std::string_view headerValue(std::string_view line, std::string_view name)
+{
+    if (line.size() <= name.size() || line[name.size()] != ':' || strncasecmp(line.data(), name.data(), name.size()) != 0) {
+        return {};
+    }
+    line.remove_prefix(name.size() + 1);
+    const auto first = line.find_first_not_of(" \t");
+    const auto last = line.find_last_not_of(" \t\r\n");
+    return first == std::string_view::npos || last == std::string_view::npos ? std::string_view() : line.substr(first, last - first + 1);
+}
+
+size_t readHeader(char *data, size_t size, size_t count, void *user)
+{
+    auto *self = static_cast<transfer *>(user);
+    const std::string_view line(data, size * count);
+    self->lastByte = std::chrono::steady_clock::now();
+    if (const auto value = headerValue(line, "Retry-After"); !value.empty()) {
+        self->result.retryAfter = milliseconds(static_cast<long>(std::strtod(std::string(value).c_str(), nullptr) * 1000));
+    }
+    if (const auto value = headerValue(line, "Chestnutgw-Verdict"); !value.empty()) {
+        self->result.verdictHeader = value;
+    }
+    if (const auto value = headerValue(line, "Content-Type"); !value.empty()) {
+        self->result.contentType = value;
+    }
+    return line.size();
+}
+
+}
+
+class event_loop::implementation
+{
+public:
+    explicit implementation(const std::string &name);
+    ~implementation();
+
+    void post(std::function<void()> task);
+    timer_id after(milliseconds delay, std::function<void()> task);
+    void cancel(timer_id timer);
+    transfer_id start(http_request request, transfer_handler handler);
+    void abort(transfer_id id);
+    void finish(transfer_id id, CURLcode code);
+    void closeIdleConnections();
+
+private:
+    static int onSocket(CURL *easy, curl_socket_t socket, int what, void *user, void *known);
+    static int onTimeout(CURLM *multi, long timeoutMs, void *user);
+    void loop();
+    int waitMilliseconds() const;
+    void runTasks();
+    void runTimers();
+    void collectFinished();
+    void watchIdle(transfer_id id);
+    void setOptions(transfer &one);
+
+    unique_fd m_epoll;
+    unique_fd m_wakeup;
+    CURLM *m_multi = nullptr;
+    std::atomic<bool> m_stopping = false;
+    std::mutex m_mutex; // guards m_tasks
+    std::vector<std::function<void()>> m_tasks;
+    std::multimap<steady_time, std::pair<timer_id, std::function<void()>>> m_timers;
+    std::unordered_map<timer_id, steady_time> m_timerTimes;
+    std::uint64_t m_nextId = 1;
+    timer_id m_curlTimer = 0;
+    bool m_curlDue = false;
+    std::unordered_map<transfer_id, std::unique_ptr<transfer>> m_transfers;
+    std::thread m_thread;
+};
+
+event_loop::implementation::implementation(const std::string &name)
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC))
+    , m_wakeup(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    static const curl_global GLOBAL;
+    m_multi = curl_multi_init();
+    if (m_epoll.get() < 0 || m_wakeup.get() < 0 || m_multi == nullptr) {
+        throw std::runtime_error("event loop: cannot create epoll, eventfd or libcurl handle");
+    }
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = m_wakeup.get();
+    epoll_ctl(m_epoll.get(), EPOLL_CTL_ADD, m_wakeup.get(), &event);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, onSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, onTimeout);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, MAX_IDLE_CONNECTIONS);
+    m_thread = std::thread([this] { loop(); });
+    pthread_setname_np(m_thread.native_handle(), name.substr(0, 15).c_str());
+}
+
+event_loop::implementation::~implementation()
+{
+    m_stopping = true;
+    post([] { });
+    m_thread.join();
+    for (auto &[id, one] : m_transfers) {
+        curl_multi_remove_handle(m_multi, one->easy);
+    }
+    m_transfers.clear();
+    curl_multi_cleanup(m_multi);
+}
+
+//-----------------------------------------------------------------------------
+// Curl glue
+//-----------------------------------------------------------------------------
+
+int event_loop::implementation::onSocket(CURL *, curl_socket_t socket, int what, void *user, void *known)
+{
+    auto *self = static_cast<implementation *>(user);
+    if (what == CURL_POLL_REMOVE) {
+        epoll_ctl(self->m_epoll.get(), EPOLL_CTL_DEL, socket, nullptr);
+        return 0;
+    }
+    epoll_event event{};
+    event.data.fd = socket;
+    event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+    const int operation = known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+    if (epoll_ctl(self->m_epoll.get(), operation, socket, &event) != 0) {
+        epoll_ctl(self->m_epoll.get(), operation == EPOLL_CTL_ADD ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event);
+    }
+    curl_multi_assign(self->m_multi, socket, self);
+    return 0;
+}
+
+int event_loop::implementation::onTimeout(CURLM *, long timeoutMs, void *user)
+{
+    auto *self = static_cast<implementation *>(user);
+    self->cancel(self->m_curlTimer);
+    self->m_curlTimer = 0;
+    if (timeoutMs >= 0) {
+        self->m_curlTimer = self->after(milliseconds(timeoutMs), [self] {
+            self->m_curlTimer = 0;
+            self->m_curlDue = true;
+        });
+    }
+    return 0;
+}
+
+//-----------------------------------------------------------------------------
+// Transfers
+//-----------------------------------------------------------------------------
+
+void event_loop::implementation::setOptions(transfer &one)
+{
+    const http_request &request = one.request;
+    CURL *easy = one.easy;
+    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+    }
+    one.headers = curl_slist_append(one.headers, "Expect:"); // no 100-continue round trip
+    for (const std::string &header : request.headers) {
+        one.headers = curl_slist_append(one.headers, header.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, one.headers);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_SECONDS);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connectTimeout.count()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.totalTimeout.count()));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.singleUse ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.singleUse ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, writeBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &one);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, readHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &one);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &one);
+}
+
+transfer_id event_loop::implementation::start(http_request request, transfer_handler handler)
+{
+    auto one = std::make_unique<transfer>();
+    const transfer_id id = m_nextId++;
+    one->id = id;
+    one->easy = curl_easy_init();
+    one->request = std::move(request);
+    one->handler = std::move(handler);
+    one->lastByte = std::chrono::steady_clock::now();
+    setOptions(*one);
+    transfer &placed = *one;
+    m_transfers[id] = std::move(one);
+    curl_multi_add_handle(m_multi, placed.easy);
+    if (placed.request.idleTimeout.count() > 0) {
+        watchIdle(id);
+    }
+    return id;
+}
+
+void event_loop::implementation::watchIdle(transfer_id id)
+{
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) {
+        return;
+    }
+    transfer &one = *found->second;
+    const auto deadline = one.lastByte + one.request.idleTimeout;
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= deadline) {
+        one.idleTimer = 0;
+        finish(id, CURLE_OPERATION_TIMEDOUT);
+        return;
+    }
+    one.idleTimer = after(std::chrono::ceil<milliseconds>(deadline - now), [this, id] { watchIdle(id); });
+}
+
+void event_loop::implementation::abort(transfer_id id)
+{
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) {
+        return;
+    }
+    const std::unique_ptr<transfer> one = std::move(found->second);
+    m_transfers.erase(found);
+    cancel(one->idleTimer);
+    curl_multi_remove_handle(m_multi, one->easy);
+}
+
+void event_loop::implementation::finish(transfer_id id, CURLcode code)
+{
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) {
+        return;
+    }
+    const std::unique_ptr<transfer> one = std::move(found->second);
+    m_transfers.erase(found);
+    cancel(one->idleTimer);
+    one->result.status = static_cast<int>(statusOf(one->easy));
+    curl_off_t connectTime = 0;
+    curl_easy_getinfo(one->easy, CURLINFO_CONNECT_TIME_T, &connectTime);
+    long connects = 0;
+    curl_easy_getinfo(one->easy, CURLINFO_NUM_CONNECTS, &connects);
+    // A reused connection reports no new connect; it stood all the same.
+    one->result.connected = connectTime > 0 || one->result.status != 0 || (connects == 0 && code != CURLE_COULDNT_CONNECT);
+    one->result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
+    if (code != CURLE_OK) {
+        one->result.error = curl_easy_strerror(code);
+    }
+    curl_multi_remove_handle(m_multi, one->easy);
+    if (one->handler.onDone) {
+        one->handler.onDone(std::move(one->result));
+    }
+}
+
+void event_loop::implementation::collectFinished()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        transfer *one = nullptr;
+        const CURLcode code = message->data.result;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &one);
+        finish(one->id, code);
+    }
+}
+
+void event_loop::implementation::closeIdleConnections()
+{
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 1L);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, MAX_IDLE_CONNECTIONS);
+}
+
+//-----------------------------------------------------------------------------
+// Timers and tasks
+//-----------------------------------------------------------------------------
+
+void event_loop::implementation::post(std::function<void()> task)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tasks.push_back(std::move(task));
+        if (m_tasks.size() > 1) {
+            return; // the loop has been woken for the first one
+        }
+    }
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = ::write(m_wakeup.get(), &one, sizeof one);
+}
+
+timer_id event_loop::implementation::after(milliseconds delay, std::function<void()> task)
+{
+    const timer_id id = m_nextId++;
+    const steady_time due = std::chrono::steady_clock::now() + delay;
+    m_timers.emplace(due, std::make_pair(id, std::move(task)));
+    m_timerTimes[id] = due;
+    return id;
+}
+
+void event_loop::implementation::cancel(timer_id timer)
+{
+    const auto found = m_timerTimes.find(timer);
+    if (found == m_timerTimes.end()) {
+        return;
+    }
+    const auto [first, last] = m_timers.equal_range(found->second);
+    for (auto at = first; at != last; ++at) {
+        if (at->second.first == timer) {
+            m_timers.erase(at);
+            break;
+        }
+    }
+    m_timerTimes.erase(found);
+}
+
+void event_loop::implementation::runTimers()
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        auto [id, task] = std::move(m_timers.begin()->second);
+        m_timers.erase(m_timers.begin());
+        m_timerTimes.erase(id);
+        task();
+    }
+}
+
+void event_loop::implementation::runTasks()
+{
+    std::vector<std::function<void()>> tasks;
+    {
+        const std::lock_guard lock(m_mutex);
+        tasks.swap(m_tasks);
+    }
+    for (const auto &task : tasks) {
+        task();
+    }
+}
+
+int event_loop::implementation::waitMilliseconds() const
+{
+    constexpr int LONGEST_WAIT_MS = 1000;
+    if (m_timers.empty()) {
+        return LONGEST_WAIT_MS;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(m_timers.begin()->first - std::chrono::steady_clock::now());
+    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, LONGEST_WAIT_MS));
+}
+
+void event_loop::implementation::loop()
+{
+    std::array<epoll_event, MAX_EVENTS> events{};
+    int running = 0;
+    while (!m_stopping) {
+        const int count = epoll_wait(m_epoll.get(), events.data(), MAX_EVENTS, waitMilliseconds());
+        for (int i = 0; i < count; ++i) {
+            const epoll_event &event = events[static_cast<std::size_t>(i)];
+            if (event.data.fd == m_wakeup.get()) {
+                std::uint64_t drained = 0;
+                [[maybe_unused]] const ssize_t got = ::read(m_wakeup.get(), &drained, sizeof drained);
+                continue;
+            }
+            int action = 0;
+            action |= (event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+            action |= (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+            action |= (event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
+            curl_multi_socket_action(m_multi, event.data.fd, action, &running);
+        }
+        runTasks();
+        runTimers();
+        if (m_curlDue) {
+            m_curlDue = false;
+            curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+        }
+        collectFinished();
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Public interface
+//-----------------------------------------------------------------------------
+
+event_loop::event_loop(const std::string &name)
+    : m_impl(std::make_unique<implementation>(name))
+{
+}
+
+event_loop::~event_loop() = default;
+
+void event_loop::post(std::function<void()> task)
+{
+    m_impl->post(std::move(task));
+}
+
+void event_loop::run(const std::function<void()> &task)
+{
+    std::promise<void> done;
+    m_impl->post([&] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+timer_id event_loop::after(milliseconds delay, std::function<void()> task)
+{
+    return m_impl->after(delay, std::move(task));
+}
+
+void event_loop::cancel(timer_id timer)
+{
+    m_impl->cancel(timer);
+}
+
+transfer_id event_loop::start(http_request request, transfer_handler handler)
+{
+    return m_impl->start(std::move(request), std::move(handler));
+}
+
+void event_loop::abort(transfer_id transfer)
+{
+    m_impl->abort(transfer);
+}
+
+void event_loop::closeIdleConnections()
+{
+    m_impl->closeIdleConnections();
+}
+
+}
--- /dev/null
+++ b/src/kernel/ids.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace chestnut
+{
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Monotonic time. Every decision takes it as an argument, so that tests pass their own.
+using steady_time = std::chrono::steady_clock::time_point;
+
+// Name of one kind of object. Two kinds never convert into each other.
+template<typename tag>
+struct strong_id {
+    std::string text; // as written in the sheet or the settings
+
+    auto operator<=>(const strong_id &) const = default;
+    bool empty() const
+    {
+        return text.empty();
+    }
+};
+
+using account_id = strong_id<struct account_tag>; // client account
+using model_id = strong_id<struct model_tag>;
+using server_id = strong_id<struct server_tag>; // backend server
+using service_id = strong_id<struct service_tag>; // plain service
+using instance_id = strong_id<struct instance_tag>; // instance of chestnutgw
+using domain_id = strong_id<struct domain_tag>; // failure domain
+using request_id = strong_id<struct request_tag>;
+
+// Position of a record in one stream of the platform's log. The first record has offset 1.
+struct log_offset {
+    std::uint64_t value = 0; // 0 means: before the first record
+
+    auto operator<=>(const log_offset &) const = default;
+};
+
+// Half-open range of model layers.
+struct layer_range {
+    int first = 0; // first layer held
+    int last = 0; // one past the last layer held
+
+    auto operator<=>(const layer_range &) const = default;
+    int count() const
+    {
+        return last - first;
+    }
+};
+
+// Number of one try at a request; rises with every new chain or dispatch.
+struct attempt_number {
+    int value = 0;
+
+    auto operator<=>(const attempt_number &) const = default;
+};
+
+// Converts a duration to fractional seconds.
+inline double toSeconds(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+// Converts fractional seconds to a duration of millisecond resolution.
+inline milliseconds fromSeconds(double value)
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(value));
+}
+
+}
+
+template<typename tag>
+struct std::hash<chestnut::strong_id<tag>> {
+    std::size_t operator()(const chestnut::strong_id<tag> &id) const noexcept
+    {
+        return std::hash<std::string>()(id.text);
+    }
+};
--- /dev/null
+++ b/src/kernel/log.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace chestnut
+{
+
+enum class log_level { debug, info, warning, error };
+
+// Parses debug, info, warning or error. Throws std::invalid_argument otherwise.
+log_level parseLogLevel(std::string_view text);
+
+using log_field = std::pair<std::string_view, std::string>;
+
+// Sets up logging to standard error. format is "text" (key=value) or "json".
+void startLog(const std::string &program, const std::string &format, log_level level);
+
+// Changes the level while running.
+void setLogLevel(log_level level);
+
+// Writes one line. Used for changes of state only; everything else is a counter.
+void logLine(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+
+}
--- /dev/null
+++ b/src/kernel/settings.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "kernel/ids.h"
+
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chestnut
+{
+
+// One key = value of an INI file or of a --set option.
+struct setting_text {
+    std::string source; // file name, or "--set"
+    int line = 0; // line in the file, 0 = from the command line
+    std::string key; // section.key
+    std::string value; // as written
+};
+
+// A wrong setting: what() is "FILE:LINE: key: problem (allowed: ...)".
+class settings_error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+// Reads an INI file (inih). Throws settings_error if it cannot be read or parsed.
+std::vector<setting_text> readSettings(const std::string &file);
+
+// One row of a settings table: where a key goes and what it may be.
+template<typename settings>
+struct setting_row {
+    const char *key; // section.key
+    std::variant<int settings::*, double settings::*, bool settings::*, std::string settings::*, milliseconds settings::*> member; // target
+    double lowest; // least allowed number, or least length of a text
+    double highest; // greatest allowed number, or greatest length of a text
+    const char *unit; // ms, bytes, IP:port, ...
+    const char *help; // one line
+};
+
+// Converters used by applySetting; each throws std::invalid_argument with what is allowed.
+double parseNumber(const std::string &text, double lowest, double highest);
+bool parseBool(const std::string &text);
+std::string parseBoundedText(const std::string &text, double shortest, double longest);
+[[noreturn]] void throwSettingsError(const setting_text &text, const std::string &problem);
+
+// Stores one key = value in the aggregate. Throws settings_error.
+template<typename settings, std::size_t count>
+void applySetting(settings &target, const setting_row<settings> (&table)[count], const setting_text &text)
+{
+    for (const setting_row<settings> &row : table) {
+        if (text.key != row.key) {
+            continue;
+        }
+        try {
+            std::visit(
+                [&](auto member) {
+                    using value_type = std::decay_t<decltype(target.*member)>;
+                    if constexpr (std::is_same_v<value_type, bool>) {
+                        target.*member = parseBool(text.value);
+                    } else if constexpr (std::is_same_v<value_type, std::string>) {
+                        target.*member = parseBoundedText(text.value, row.lowest, row.highest);
+                    } else {
+                        target.*member = static_cast<value_type>(static_cast<std::int64_t>(parseNumber(text.value, row.lowest, row.highest)));
+                        if constexpr (std::is_same_v<value_type, double>) {
+                            target.*member = parseNumber(text.value, row.lowest, row.highest);
+                        }
+                    }
+                },
+                row.member);
+        } catch (const std::invalid_argument &problem) {
+            throwSettingsError(text, problem.what());
+        }
+        return;
+    }
+    std::string known;
+    for (const setting_row<settings> &row : table) {
+        known += std::string(" ") + row.key;
+    }
+    throwSettingsError(text, "unknown key (allowed:" + known + ")");
+}
+
+// Lists the keys with unit, default, range and meaning, for --help.
+template<typename settings, std::size_t count>
+std::string describeSettings(const setting_row<settings> (&table)[count])
+{
+    const settings defaults;
+    std::string text = "Settings (INI sections and keys; also --set section.key=value):\n";
+    for (const setting_row<settings> &row : table) {
+        std::string fallback;
+        std::visit(
+            [&](auto member) {
+                using value_type = std::decay_t<decltype(defaults.*member)>;
+                if constexpr (std::is_same_v<value_type, std::string>) {
+                    fallback = (defaults.*member).empty() ? "(none)" : defaults.*member;
+                } else if constexpr (std::is_same_v<value_type, milliseconds>) {
+                    fallback = std::to_string((defaults.*member).count());
+                } else if constexpr (std::is_same_v<value_type, bool>) {
+                    fallback = defaults.*member ? "yes" : "no";
+                } else {
+                    fallback = std::to_string(defaults.*member);
+                }
+            },
+            row.member);
+        text += std::string("  ") + row.key + " [" + row.unit + "] default " + fallback + ": " + row.help + "\n";
+    }
+    return text;
+}
+
+// What every program's command line has in common.
+struct program_options {
+    std::vector<setting_text> settings; // from --config and then --set
+    bool checkOnly = false; // --check-config
+    bool exitNow = false; // --help or --version was printed
+};
+
+// Parses --config, --set, --check-config, --help and --version (cxxopts). Throws settings_error on a bad command line.
+program_options parseProgramOptions(int argc, char **argv, const std::string &program, const std::string &purpose, const std::string &settingsHelp);
+
+// Runs a program's start: parses, applies the table, then calls body(settings). Returns the exit status; 2 for a wrong setting.
+template<typename settings, std::size_t count, typename callable>
+int runProgram(int argc, char **argv, const std::string &program, const std::string &purpose, const setting_row<settings> (&table)[count], callable body);
+
+void printError(const std::string &text);
+void printLine(const std::string &text);
+
+template<typename settings, std::size_t count, typename callable>
+int runProgram(int argc, char **argv, const std::string &program, const std::string &purpose, const setting_row<settings> (&table)[count], callable body)
+{
+    try {
+        const program_options options = parseProgramOptions(argc, argv, program, purpose, describeSettings(table));
+        if (options.exitNow) {
+            return 0;
+        }
+        settings parsed;
+        for (const setting_text &text : options.settings) {
+            applySetting(parsed, table, text);
+        }
+        checkSettings(parsed);
+        if (options.checkOnly) {
+            printLine("settings are valid");
+            return 0;
+        }
+        return body(parsed);
+    } catch (const settings_error &problem) {
+        printError(problem.what());
+        return 2;
+    } catch (const std::exception &problem) {
+        printError(problem.what());
+        return 1;
+    }
+}
+
+// Blocks SIGINT and SIGTERM in this thread and all started later. Called first in main.
+void blockTerminationSignals();
+// Waits for SIGINT or SIGTERM.
+void waitForTermination();
+
+}
--- /dev/null
+++ b/src/load/x.cpp
@@ -0,0 +1,1 @@
+// placeholder
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/process.cpp
@@ -0,0 +1,190 @@
+#include "process.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <future>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+
+extern char **environ;
+
+namespace chestnut::test
+{
+
+namespace
+{
+
+constexpr seconds HANG_LIMIT{90}; // nothing waits this long unless it hangs
+
+pid_t spawn(const std::string &program, const std::vector<std::string> &arguments, int output)
+{
+    const std::string path = std::string(CHESTNUTGW_BIN) + "/" + program;
+    std::vector<char *> argv{const_cast<char *>(path.c_str())};
+    for (const std::string &argument : arguments) {
+        argv.push_back(const_cast<char *>(argument.c_str()));
+    }
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    const scope_guard cleanActions([&] { posix_spawn_file_actions_destroy(&actions); });
+    posix_spawn_file_actions_adddup2(&actions, output, 1);
+    pid_t pid = -1;
+    if (posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ) != 0) {
+        throw std::runtime_error("cannot start " + path);
+    }
+    return pid;
+}
+
+std::string readLine(int fd)
+{
+    std::string line;
+    char letter = 0;
+    while (::read(fd, &letter, 1) == 1 && letter != '\n') {
+        line += letter;
+    }
+    return line;
+}
+
+int statusOf(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+}
+
+child_process::child_process(const std::string &program, const std::vector<std::string> &settings)
+{
+    int ends[2] = {};
+    if (::pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe");
+    }
+    m_output = unique_fd(ends[0]);
+    const unique_fd writer(ends[1]);
+    std::vector<std::string> arguments;
+    for (const std::string &setting : settings) {
+        arguments.push_back("--set");
+        arguments.push_back(setting);
+    }
+    m_pid = spawn(program, arguments, writer.get());
+    { // our copy of the writing end must be closed for the reader to see the end
+        const unique_fd closing(std::move(const_cast<unique_fd &>(writer)));
+    }
+    const std::string line = readLine(m_output.get());
+    const std::string start = "listening on ";
+    if (!line.starts_with(start)) {
+        throw std::runtime_error(program + " did not start: '" + line + "'");
+    }
+    const std::string rest = line.substr(start.size());
+    m_address = rest.substr(0, rest.find(' '));
+    const auto peers = rest.find("peers ");
+    m_peerAddress = peers == std::string::npos ? std::string() : rest.substr(peers + 6);
+}
+
+child_process::child_process(child_process &&other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1))
+    , m_output(std::move(other.m_output))
+    , m_address(std::move(other.m_address))
+    , m_peerAddress(std::move(other.m_peerAddress))
+{
+}
+
+child_process::~child_process()
+{
+    kill();
+}
+
+void child_process::signal(int number) const
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, number);
+    }
+}
+
+void child_process::kill()
+{
+    signal(SIGKILL);
+    wait();
+}
+
+int child_process::wait()
+{
+    if (m_pid <= 0) {
+        return 0;
+    }
+    int status = 0;
+    ::waitpid(m_pid, &status, 0);
+    m_pid = -1;
+    return statusOf(status);
+}
+
+program_result runProgramOnce(const std::string &program, const std::vector<std::string> &arguments)
+{
+    int ends[2] = {};
+    if (::pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe");
+    }
+    const unique_fd reader(ends[0]);
+    program_result result;
+    pid_t pid = -1;
+    {
+        const unique_fd writer(ends[1]);
+        pid = spawn(program, arguments, writer.get());
+    }
+    char buffer[4096];
+    ssize_t count = 0;
+    while ((count = ::read(reader.get(), buffer, sizeof buffer)) > 0) {
+        result.output.append(buffer, static_cast<std::size_t>(count));
+    }
+    int status = 0;
+    ::waitpid(pid, &status, 0);
+    result.status = statusOf(status);
+    return result;
+}
+
+http_result request(const std::string &method, const std::string &url, const std::string &body, const std::vector<std::string> &headers, milliseconds timeout)
+{
+    http_request one;
+    one.method = method;
+    one.url = url;
+    one.body = body;
+    one.headers = headers;
+    one.totalTimeout = timeout;
+    return requestAll({one}).front();
+}
+
+std::vector<http_result> requestAll(const std::vector<http_request> &requests)
+{
+    event_loop loop("test-client");
+    std::vector<http_result> results(requests.size());
+    std::atomic<std::size_t> left = requests.size();
+    std::promise<void> done;
+    loop.post([&] {
+        for (std::size_t i = 0; i < requests.size(); ++i) {
+            loop.start(requests[i], {{}, [&, i](http_result result) {
+                                         results[i] = std::move(result);
+                                         if (--left == 0) {
+                                             done.set_value();
+                                         }
+                                     }});
+        }
+    });
+    done.get_future().wait();
+    return results;
+}
+
+bool eventually(const std::function<bool()> &condition)
+{
+    const steady_time limit = std::chrono::steady_clock::now() + HANG_LIMIT;
+    while (std::chrono::steady_clock::now() < limit) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::yield();
+        ::usleep(20'000);
+    }
+    return false;
+}
+
+}
