--- a/src/backend/engine.h
+++ b/src/backend/engine.h
@@ -9,7 +9,8 @@
 {
 
 // A request for tokens over one chain.
-struct generate_request {
+struct generate_request
+{
     request_id request;
     attempt_number attempt;
     model_id model;
@@ -22,35 +23,40 @@
 };
 
 // Time spent at one stage for one token.
-struct stage_timing {
+struct stage_timing
+{
     server_id server;
     double stageMs = 0; // waiting and service at the stage
-    double linkMs = 0; // one-way delay of the hop to the stage
+    double linkMs = 0;  // one-way delay of the hop to the stage
 };
 
 // How an attempt failed.
-struct engine_failure {
+struct engine_failure
+{
     verdict ran = verdict::may_have_run;
-    std::string code; // connect, silent, leaving, not_held, stage_lost, protocol, ...
+    std::string code;  // connect, silent, leaving, not_held, stage_lost, protocol, ...
     server_id culprit; // stage to blame, empty if unknown
     std::string message;
 };
 
 // Callbacks on the loop's thread. Exactly one of onDone and onFailure ends a generation.
-struct generate_handler {
+struct generate_handler
+{
     std::function<void(token_event, std::vector<stage_timing>)> onToken;
     std::function<void(attempt_number attempt, int tokens, std::string reason)> onDone;
     std::function<void(engine_failure)> onFailure;
 };
 
 // What a server should hold. Idempotent; carries the lease's fencing number.
-struct engine_order {
-    std::uint64_t fence = 0; // offset of the lease record
+struct engine_order
+{
+    std::uint64_t fence = 0;       // offset of the lease record
     std::vector<holding> holdings; // whole wanted state
 };
 
-enum class order_status {
-    done, // accepted
+enum class order_status
+{
+    done,   // accepted
     fenced, // refused: the engine has seen a higher number
     failed, // refused, or no answer: the report will tell
 };
--- a/src/backend/stage_engine.cpp
+++ b/src/backend/stage_engine.cpp
@@ -45,8 +45,11 @@
     value.at("layer_ms").get_to(report.layerMs);
     value.at("streams").get_to(report.streams);
     value.at("leaving").get_to(report.leaving);
+    report.maxLayers = value.value("max_layers", 0);
+    report.loading = value.value("loading", false);
     for (const json &one : value.at("holds")) {
-        report.holdings.push_back({model_id{one.at("model").get<std::string>()}, one.at("version").get<std::string>(), {one.at("first").get<int>(), one.at("last").get<int>()}});
+        report.holdings.push_back(
+            {model_id{one.at("model").get<std::string>()}, one.at("version").get<std::string>(), {one.at("first").get<int>(), one.at("last").get<int>()}});
     }
     const bool sane = report.slots >= 1 && report.layerMs > 0 && report.layerMs < 1e6 && report.active >= 0 && report.queued >= 0 && report.streams >= 0;
     if (!sane) {
@@ -56,12 +59,13 @@
 }
 
 // One generation being received.
-struct generation {
+struct generation
+{
     generate_handler handler;
     event_stream_decoder decoder;
     server_id first; // first stage
     attempt_number attempt;
-    bool ended = false; // onDone or onFailure was called
+    bool ended = false;    // onDone or onFailure was called
     bool anyEvent = false; // the chain has answered
 
     void fail(verdict ran, const std::string &code, const server_id &culprit, const std::string &message)
@@ -140,8 +144,9 @@
     transfer_id generate(const generate_request &wanted, generate_handler handler) override
     {
         const chain_stage &first = wanted.chain.stages.front();
-        json body{{"request", wanted.request.text}, {"attempt", wanted.attempt.value}, {"model", wanted.model.text}, {"version", wanted.version}, {"chain", encodeChain(wanted.chain)}, {"prompt", wanted.prompt}, {"tokens", wanted.tokens},
-                  {"max_tokens", wanted.maxTokens}, {"priority", wanted.priority}};
+        json body{{"request", wanted.request.text}, {"attempt", wanted.attempt.value},    {"model", wanted.model.text},
+                  {"version", wanted.version},      {"chain", encodeChain(wanted.chain)}, {"prompt", wanted.prompt},
+                  {"tokens", wanted.tokens},        {"max_tokens", wanted.maxTokens},     {"priority", wanted.priority}};
         http_request request;
         request.method = "POST";
         request.url = "http://" + first.address + "/v1/generate";
@@ -152,15 +157,16 @@
         self->handler = std::move(handler);
         self->first = first.server;
         self->attempt = wanted.attempt;
-        return m_loop.start(std::move(request), {[self](int, std::string_view piece) {
-                                                     for (const std::string &event : self->decoder.feed(piece)) {
-                                                         handleEvent(*self, event);
-                                                     }
-                                                     if (self->decoder.overflowed()) {
-                                                         self->fail(verdict::may_have_run, "protocol", self->first, "event too large");
-                                                     }
-                                                 },
-                                                 [self](const http_result &result) { handleEnd(*self, result); }});
+        return m_loop.start(std::move(request),
+                            {[self](int, std::string_view piece) {
+                                 for (const std::string &event : self->decoder.feed(piece)) {
+                                     handleEvent(*self, event);
+                                 }
+                                 if (self->decoder.overflowed()) {
+                                     self->fail(verdict::may_have_run, "protocol", self->first, "event too large");
+                                 }
+                             },
+                             [self](const http_result &result) { handleEnd(*self, result); }});
     }
 
     void cancel(transfer_id generation) override
--- a/src/caller/chat_api.cpp
+++ b/src/caller/chat_api.cpp
@@ -22,7 +22,8 @@
         return "must be a list with at least one message";
     }
     for (const json &message : messages) {
-        const bool valid = message.is_object() && message.contains("role") && message["role"].is_string() && message.contains("content") && message["content"].is_string();
+        const bool valid
+            = message.is_object() && message.contains("role") && message["role"].is_string() && message.contains("content") && message["content"].is_string();
         if (!valid) {
             return "each message must have a role and a content, both texts";
         }
@@ -88,10 +89,12 @@
     if (!finishReason.empty()) {
         choice["finish_reason"] = finishReason;
     }
-    return "data: " + dumpText(json{{"id", id.text}, {"object", "chat.completion.chunk"}, {"model", model}, {"choices", json::array({std::move(choice)})}}) + "\n\n";
+    return "data: " + dumpText(json{{"id", id.text}, {"object", "chat.completion.chunk"}, {"model", model}, {"choices", json::array({std::move(choice)})}})
+        + "\n\n";
 }
 
-std::string formatWhole(const request_id &id, const std::string &model, const std::vector<std::string> &tokens, const std::string &finishReason, std::size_t promptWords)
+std::string formatWhole(const request_id &id, const std::string &model, const std::vector<std::string> &tokens, const std::string &finishReason,
+                        std::size_t promptWords)
 {
     std::string text;
     for (const std::string &token : tokens) {
--- a/src/core/chestnutgw.h
+++ b/src/core/chestnutgw.h
@@ -16,6 +16,8 @@
 //   7. Membership
 //   8. Retries
 //   9. Reasons
+//  10. Leases
+//  11. Placement
 
 #include "kernel/ids.h"
 #include "kernel/verdict.h"
@@ -42,22 +44,23 @@
 //-----------------------------------------------------------------------------
 
 // One object of the sheet. Which columns a kind uses is fixed by the column table in sheet.cpp.
-struct config_row {
-    std::string kind; // account, model, version, grant, server, service or replica
-    std::string name; // unique within kind and of
-    std::string of; // parent: model of a version, model/version of a grant, service of a replica
-    std::string failureDomain; // of a server or replica
-    std::string address; // IP:port of a server or replica
-    std::string accelerator; // kind of accelerator of a server
-    int layers = 0; // of a model
-    double weight = 1; // account: share under contention; server: largest number of concurrent streams
-    double worth = 1; // account: worth of one request completed in time
+struct config_row
+{
+    std::string kind;           // account, model, version, grant, server, service or replica
+    std::string name;           // unique within kind and of
+    std::string of;             // parent: model of a version, model/version of a grant, service of a replica
+    std::string failureDomain;  // of a server or replica
+    std::string address;        // IP:port of a server or replica
+    std::string accelerator;    // kind of accelerator of a server
+    int layers = 0;             // of a model
+    double weight = 1;          // account: share under contention; server: largest number of concurrent streams
+    double worth = 1;           // account: worth of one request completed in time
     double tokensPerSecond = 0; // account: limit over all instances, 0 = none
-    int deadlineMs = 0; // account, service: longest useful answer time, 0 = none
-    std::string keySha256; // account: SHA-256 of its bearer key, lower-case hexadecimal
-    std::string repeat; // service: repeatable, once or deduplicated
-    std::string checksFence; // server: yes if its engine refuses old fencing numbers, else no
-    std::string state; // active, suspended (account), retired (version) or draining (server, replica)
+    int deadlineMs = 0;         // account, service: longest useful answer time, 0 = none
+    std::string keySha256;      // account: SHA-256 of its bearer key, lower-case hexadecimal
+    std::string repeat;         // service: repeatable, once or deduplicated
+    std::string checksFence;    // server: yes if its engine refuses old fencing numbers, else no
+    std::string state;          // active, suspended (account), retired (version) or draining (server, replica)
 
     bool operator==(const config_row &) const = default;
     // Identity of the row: kind/of/name.
@@ -65,14 +68,16 @@
 };
 
 // A fault in a sheet. Rows count from 1 with the header as row 1, as a spreadsheet shows them.
-struct sheet_problem {
-    int row = 0; // 0 = the sheet as a whole
-    std::string column; // empty = the row as a whole
+struct sheet_problem
+{
+    int row = 0;         // 0 = the sheet as a whole
+    std::string column;  // empty = the row as a whole
     std::string message; // what is wrong and what is allowed
 };
 
-struct parsed_sheet {
-    std::vector<config_row> rows; // valid only without problems
+struct parsed_sheet
+{
+    std::vector<config_row> rows;        // valid only without problems
     std::vector<sheet_problem> problems; // every fault found
 };
 
@@ -92,29 +97,33 @@
 //-----------------------------------------------------------------------------
 
 // A row set (row has a value) or removed (it has none).
-struct row_change {
-    std::string key; // config_row::key()
+struct row_change
+{
+    std::string key;               // config_row::key()
     std::optional<config_row> row; // new content
 };
 
 // A proposed change, as appended to the log.
-struct config_change {
-    std::string id; // unique; a change appended twice counts once
-    std::string author; // operator, for the audit trail
-    log_offset base; // offset in force at the place where the change was made
+struct config_change
+{
+    std::string id;               // unique; a change appended twice counts once
+    std::string author;           // operator, for the audit trail
+    log_offset base;              // offset in force at the place where the change was made
     std::vector<row_change> rows; // what to change
 };
 
-enum class change_outcome {
+enum class change_outcome
+{
     accepted, // in force
     conflict, // a touched row was changed by someone else after the base
-    invalid, // the merged configuration would have references that do not resolve
-    stale, // the base is older than the fold remembers
+    invalid,  // the merged configuration would have references that do not resolve
+    stale,    // the base is older than the fold remembers
 };
 
 std::string_view toText(change_outcome outcome);
 
-struct change_result {
+struct change_result
+{
     log_offset offset; // of the change's first record
     change_outcome outcome = change_outcome::accepted;
     std::string detail; // first row in the way
@@ -124,10 +133,11 @@
 std::string encodeChange(const config_change &change);
 
 // What a reader does with a record.
-enum class fold_step {
-    applied, // the record moved the fold forward
+enum class fold_step
+{
+    applied,  // the record moved the fold forward
     buffered, // kept until a snapshot gives the fold its start
-    ignored, // already folded, a duplicate, a snapshot not needed, or not a configuration record
+    ignored,  // already folded, a duplicate, a snapshot not needed, or not a configuration record
 };
 
 // Folds the configuration stream. The result is a pure function of the records up to the applied offset, whether the
@@ -170,9 +180,10 @@
     }
 
 private:
-    struct journal_entry {
-        log_offset offset; // of the change
-        std::string key; // row touched
+    struct journal_entry
+    {
+        log_offset offset;                // of the change
+        std::string key;                  // row touched
         std::optional<config_row> before; // its content before
     };
 
@@ -185,12 +196,12 @@
     bool m_started = false;
     log_offset m_applied;
     config_rows m_rows;
-    std::map<std::string, log_offset> m_touched; // last change of each row, removed ones included
-    std::map<std::string, change_result> m_results; // by change id
+    std::map<std::string, log_offset> m_touched;                  // last change of each row, removed ones included
+    std::map<std::string, change_result> m_results;               // by change id
     std::deque<std::pair<log_offset, std::string>> m_resultOrder; // for forgetting
-    std::deque<journal_entry> m_journal; // for rowsAt()
-    log_offset m_journalStart; // rowsAt() reaches back to this offset
-    std::map<log_offset, std::string> m_buffered; // records before the start
+    std::deque<journal_entry> m_journal;                          // for rowsAt()
+    log_offset m_journalStart;                                    // rowsAt() reaches back to this offset
+    std::map<log_offset, std::string> m_buffered;                 // records before the start
     std::uint64_t m_undecodable = 0;
 };
 
@@ -198,30 +209,34 @@
 std::vector<row_change> diffRows(const config_rows &from, const config_rows &to);
 
 // A client account with what it may use.
-struct account_settings {
+struct account_settings
+{
     account_id id;
-    double weight = 1; // share under contention
-    double worth = 1; // of one request completed in time
-    double tokensPerSecond = 0; // limit over all instances, 0 = none
-    milliseconds deadline{0}; // longest useful answer time, 0 = none
-    bool suspended = false; // refused
+    double weight = 1;                                // share under contention
+    double worth = 1;                                 // of one request completed in time
+    double tokensPerSecond = 0;                       // limit over all instances, 0 = none
+    milliseconds deadline{0};                         // longest useful answer time, 0 = none
+    bool suspended = false;                           // refused
     std::map<model_id, std::set<std::string>> grants; // active versions by model
 };
 
-enum class repeat_policy {
-    repeatable, // idempotent: may be sent again
-    once, // must not run twice: claimed by key
+enum class repeat_policy
+{
+    repeatable,   // idempotent: may be sent again
+    once,         // must not run twice: claimed by key
     deduplicated, // the service itself runs each key once
 };
 
-struct service_replica {
+struct service_replica
+{
     std::string name;
-    std::string address; // IP:port
-    domain_id domain; // failure domain
+    std::string address;   // IP:port
+    domain_id domain;      // failure domain
     bool draining = false; // gets no new calls
 };
 
-struct service_settings {
+struct service_settings
+{
     service_id id;
     repeat_policy repeat = repeat_policy::once;
     milliseconds deadline{0}; // longest useful answer time, 0 = none
@@ -229,10 +244,11 @@
 };
 
 // A configuration in the form the data path reads. Immutable once built.
-struct deployment {
-    log_offset offset; // as of
+struct deployment
+{
+    log_offset offset;                                     // as of
     std::map<std::string, account_settings> accountsByKey; // by key_sha256
-    std::map<model_id, int> layers; // of each model
+    std::map<model_id, int> layers;                        // of each model
     std::map<service_id, service_settings> services;
     config_rows rows; // everything
 };
@@ -244,7 +260,8 @@
 //-----------------------------------------------------------------------------
 
 // A part of a model held by a server.
-struct holding {
+struct holding
+{
     model_id model;
     std::string version;
     layer_range range;
@@ -253,41 +270,46 @@
 };
 
 // A server's own load report. Lags behind by the polling interval.
-struct server_report {
+struct server_report
+{
     std::vector<holding> holdings; // what its engine says it holds; routing trusts nothing else
-    int active = 0; // activations in service
-    int queued = 0; // activations waiting
-    int slots = 1; // activations served at once
-    double layerMs = 1; // service time of one layer for one token
-    int streams = 0; // streams that pass through the server
-    bool leaving = false; // asks for no new work
+    int active = 0;                // activations in service
+    int queued = 0;                // activations waiting
+    int slots = 1;                 // activations served at once
+    double layerMs = 1;            // service time of one layer for one token
+    int streams = 0;               // streams that pass through the server
+    int maxLayers = 0;             // layers that its memory holds, 0 = not told
+    bool loading = false;          // weights are being loaded
+    bool leaving = false;          // asks for no new work
 };
 
 // One backend server as one instance of chestnutgw sees it.
-struct fleet_server {
+struct fleet_server
+{
     server_id id;
-    std::string address; // IP:port
-    domain_id domain; // failure domain
-    bool draining = false; // by operator
-    bool listed = true; // not marked as leaving in the platform's instance list
+    std::string address;                 // IP:port
+    domain_id domain;                    // failure domain
+    bool draining = false;               // by operator
+    bool listed = true;                  // not marked as leaving in the platform's instance list
     std::optional<server_report> report; // latest; none = never reached
-    steady_time reportedAt; // when it was received
-    int inFlight = 0; // own streams through the server
-    int startedSinceReport = 0; // own streams that the report cannot show yet
-    int endedSinceReport = 0; // own streams that ended after the report
-    double delayFactor = 1; // measured service time over the one predicted from reports, smoothed
-    int failures = 0; // consecutive failures of own attempts
-    steady_time ejectedUntil; // no work before
-    int probes = 0; // own streams sent since the ejection ended
+    steady_time reportedAt;              // when it was received
+    int inFlight = 0;                    // own streams through the server
+    int startedSinceReport = 0;          // own streams that the report cannot show yet
+    int endedSinceReport = 0;            // own streams that ended after the report
+    double delayFactor = 1;              // measured service time over the one predicted from reports, smoothed
+    int failures = 0;                    // consecutive failures of own attempts
+    steady_time ejectedUntil;            // no work before
+    int probes = 0;                      // own streams sent since the ejection ended
 
     // Why the server gets no new work now; empty = it does.
     std::string_view unusable(steady_time now) const;
 };
 
 // Link between two servers, or from an instance to a first stage, learnt from traffic.
-struct link_estimate {
+struct link_estimate
+{
     double delayMs = 0; // smoothed one-way delay
-    int samples = 0; // number of measurements
+    int samples = 0;    // number of measurements
 };
 
 // All backend servers with what is known of them.
@@ -321,7 +343,8 @@
 // 4. Routing
 //-----------------------------------------------------------------------------
 
-struct chain_stage {
+struct chain_stage
+{
     server_id server;
     std::string address; // IP:port
     layer_range range;
@@ -330,15 +353,17 @@
 };
 
 // Servers whose ranges cover all layers of a model exactly, in order.
-struct pipeline_chain {
+struct pipeline_chain
+{
     std::vector<chain_stage> stages;
     double cost = 0; // in the policy's measure
 };
 
-struct route_query {
+struct route_query
+{
     model_id model;
-    std::string version; // pinned for the whole answer
-    int layers = 0; // of the model
+    std::string version;       // pinned for the whole answer
+    int layers = 0;            // of the model
     std::set<server_id> avoid; // servers that failed this request already
     steady_time now;
 };
@@ -367,17 +392,19 @@
 //-----------------------------------------------------------------------------
 
 // One token as it came back from a chain.
-struct token_event {
+struct token_event
+{
     attempt_number attempt;
     int index = 0; // position in the answer, from 0
     std::string text;
-    std::string version; // of the model, as the stages ran it
+    std::string version;             // of the model, as the stages ran it
     std::vector<layer_range> ranges; // layers that ran for this token, in order
 };
 
-enum class token_verdict {
-    deliver, // next token of the answer
-    stale, // from an older attempt: drop
+enum class token_verdict
+{
+    deliver,   // next token of the answer
+    stale,     // from an older attempt: drop
     violation, // out of order, wrong layers or wrong version: the attempt is void
 };
 
@@ -438,20 +465,22 @@
 //-----------------------------------------------------------------------------
 
 // One entry of the claims stream. The first claim of a key in offset order wins; only the winner may dispatch.
-struct claim_record {
-    enum class kind {
-        claim, // an instance asks for the key
+struct claim_record
+{
+    enum class kind
+    {
+        claim,   // an instance asks for the key
         outcome, // the winner tells how the call ended; not_run frees the key
     };
     kind type = kind::claim;
-    std::string key; // account/service/idempotency key
-    std::string attempt; // unique over all instances and time
-    std::string fingerprint; // hash of the request, so that a key is not reused for another
+    std::string key;                // account/service/idempotency key
+    std::string attempt;            // unique over all instances and time
+    std::string fingerprint;        // hash of the request, so that a key is not reused for another
     verdict ran = verdict::not_run; // outcome: how the call ended
-    int status = 0; // outcome: HTTP status
-    std::string contentType; // outcome: of the body
-    std::string body; // outcome: answer, up to a bound
-    bool truncated = false; // outcome: the body was over the bound and is left out
+    int status = 0;                 // outcome: HTTP status
+    std::string contentType;        // outcome: of the body
+    std::string body;               // outcome: answer, up to a bound
+    bool truncated = false;         // outcome: the body was over the bound and is left out
 };
 
 std::string encodeClaim(const claim_record &record);
@@ -459,10 +488,11 @@
 claim_record decodeClaim(std::string_view text);
 
 // State of one key after the folded records.
-struct claim_state {
-    std::string winner; // attempt that may dispatch
-    std::string fingerprint; // of the winner's request
-    std::int64_t claimedAtMs = 0; // log service's clock
+struct claim_state
+{
+    std::string winner;                  // attempt that may dispatch
+    std::string fingerprint;             // of the winner's request
+    std::int64_t claimedAtMs = 0;        // log service's clock
     std::optional<claim_record> outcome; // once recorded, never changed
 };
 
@@ -499,44 +529,48 @@
     log_offset m_applied;
     std::int64_t m_latestMs = 0;
     std::unordered_map<std::string, claim_state> m_keys;
-    std::deque<std::pair<std::int64_t, std::string>> m_order; // by claim time
+    std::deque<std::pair<std::int64_t, std::string>> m_order;     // by claim time
     std::unordered_map<std::string, std::int64_t> m_seenAttempts; // an attempt counts once, also after it freed its key
     std::deque<std::pair<std::int64_t, std::string>> m_attemptOrder;
 };
 
-struct claim_limits {
-    milliseconds window{600'000}; // keys are remembered this long; less than the log's retention
+struct claim_limits
+{
+    milliseconds window{600'000};      // keys are remembered this long; less than the log's retention
     milliseconds dispatchLimit{5'000}; // a winner that has not sent by then never sends; far inside the window
-    milliseconds retryUnknown{300}; // an append without an answer is tried again under a new attempt after this
-    std::size_t maxBatch = 128; // records in one append
-    std::size_t maxWaiting = 4096; // tickets waiting; more are refused at once
+    milliseconds retryUnknown{300};    // an append without an answer is tried again under a new attempt after this
+    std::size_t maxBatch = 128;        // records in one append
+    std::size_t maxWaiting = 4096;     // tickets waiting; more are refused at once
 };
 
 using claim_ticket = std::uint64_t; // one caller's wait, unique in a desk
 
 // What the desk decided on a ticket.
-struct claim_decision {
-    enum class kind {
-        dispatch, // the key is won: send now, once, then call finished()
-        recorded, // the call ended earlier: answer with outcome
+struct claim_decision
+{
+    enum class kind
+    {
+        dispatch,    // the key is won: send now, once, then call finished()
+        recorded,    // the call ended earlier: answer with outcome
         lost_winner, // another attempt holds the key and told no outcome in time: may_have_run
-        mismatch, // the key was used for another request: not_run
-        refused, // the log cannot be reached: not_run
-        expired, // the deadline passed before the claim was settled: not_run
+        mismatch,    // the key was used for another request: not_run
+        refused,     // the log cannot be reached: not_run
+        expired,     // the deadline passed before the claim was settled: not_run
     };
     claim_ticket ticket = 0;
     kind type = kind::refused;
-    std::string attempt; // dispatch: the winning attempt
+    std::string attempt;    // dispatch: the winning attempt
     steady_time sendBefore; // dispatch: not to be sent later than this
-    claim_record outcome; // recorded
+    claim_record outcome;   // recorded
 };
 
 // Result of an append as seen by the writer.
-enum class append_status {
-    appended, // the records are in the log
-    refused, // certain: they are not
+enum class append_status
+{
+    appended,  // the records are in the log
+    refused,   // certain: they are not
     throttled, // certain: they are not, because of the log's rate limit
-    unknown, // no answer: they may be
+    unknown,   // no answer: they may be
 };
 
 // Settles claims for the callers of one instance. Driven by four inputs: submissions, append results, folded records, time.
@@ -591,23 +625,25 @@
     }
 
 private:
-    enum class stage {
-        queued, // waits for the next append
-        appending, // in the append in flight
-        appended, // in the log, not folded yet
-        unknown, // the append had no answer
+    enum class stage
+    {
+        queued,          // waits for the next append
+        appending,       // in the append in flight
+        appended,        // in the log, not folded yet
+        unknown,         // the append had no answer
         waiting_outcome, // another attempt holds the key
-        dispatched, // won and handed to the caller
+        dispatched,      // won and handed to the caller
     };
-    struct waiting {
-        std::string key; // claimed
-        std::string fingerprint; // of the request
-        steady_time submitted; // for the dispatch limit
-        steady_time deadline; // of the caller
-        stage at = stage::queued; // where the ticket is
+    struct waiting
+    {
+        std::string key;                // claimed
+        std::string fingerprint;        // of the request
+        steady_time submitted;          // for the dispatch limit
+        steady_time deadline;           // of the caller
+        stage at = stage::queued;       // where the ticket is
         std::set<std::string> attempts; // all attempts appended or tried for this ticket
-        std::string winner; // attempt that won, once dispatched
-        steady_time retryAt; // stage unknown: next try
+        std::string winner;             // attempt that won, once dispatched
+        steady_time retryAt;            // stage unknown: next try
     };
 
     void decide(claim_ticket ticket, claim_decision::kind type, const claim_record *outcome = nullptr);
@@ -627,14 +663,14 @@
     std::uint64_t m_nextAttempt = 1;
     std::map<claim_ticket, waiting> m_waiting;
     std::unordered_map<std::string, std::set<claim_ticket>> m_ticketsOfKey;
-    std::deque<claim_ticket> m_queue; // claims to append
-    std::deque<std::string> m_outcomes; // encoded outcomes to append
-    std::vector<claim_ticket> m_batchTickets; // in flight
-    std::vector<std::string> m_batchOutcomes; // in flight
-    std::vector<std::string> m_batch; // in flight, encoded
+    std::deque<claim_ticket> m_queue;           // claims to append
+    std::deque<std::string> m_outcomes;         // encoded outcomes to append
+    std::vector<claim_ticket> m_batchTickets;   // in flight
+    std::vector<std::string> m_batchOutcomes;   // in flight
+    std::vector<std::string> m_batch;           // in flight, encoded
     std::set<std::string> m_dispatchedAttempts; // own attempts that were handed out for sending; never freed as not_run by anyone but finished()
-    steady_time m_probeAt; // while the log is down: when the next claim may try it
-    steady_time m_retryAppendAt; // no append before
+    steady_time m_probeAt;                      // while the log is down: when the next claim may try it
+    steady_time m_retryAppendAt;                // no append before
     std::uint64_t m_undecodable = 0;
     std::vector<claim_decision> m_decisions;
 };
@@ -644,40 +680,44 @@
 //-----------------------------------------------------------------------------
 
 // What an account asked of one instance lately.
-struct account_demand {
+struct account_demand
+{
     account_id account;
     double offered = 0; // tokens per second asked for, smoothed
-    double used = 0; // tokens per second admitted, smoothed
+    double used = 0;    // tokens per second admitted, smoothed
 };
 
 // One instance of chestnutgw as it describes itself. Rows spread unchanged from instance to instance.
-struct member {
+struct member
+{
     instance_id id;
-    domain_id domain; // failure domain
-    std::string address; // IP:port of its peer service
-    std::uint64_t incarnation = 0; // start of the process, ms since the epoch
-    std::uint64_t sequence = 0; // rises with each heartbeat
-    log_offset configOffset; // configuration in force
-    log_offset claimsOffset; // claims folded
-    bool leaving = false; // shuts down
-    int streams = 0; // requests in flight
+    domain_id domain;                   // failure domain
+    std::string address;                // IP:port of its peer service
+    std::uint64_t incarnation = 0;      // start of the process, ms since the epoch
+    std::uint64_t sequence = 0;         // rises with each heartbeat
+    log_offset configOffset;            // configuration in force
+    log_offset claimsOffset;            // claims folded
+    bool leaving = false;               // shuts down
+    int streams = 0;                    // requests in flight
     std::vector<account_demand> demand; // accounts with traffic
 };
 
-enum class member_state {
+enum class member_state
+{
     alive,
     suspect, // silent for longer than its rhythm explains
-    dead, // silent for long: no share of any limit
+    dead,    // silent for long: no share of any limit
 };
 
-struct membership_limits {
-    milliseconds heartbeat{500}; // own sequence rises this often
+struct membership_limits
+{
+    milliseconds heartbeat{500};       // own sequence rises this often
     milliseconds remoteInterval{4000}; // unchanged rows of other failure domains are sent on this often
-    double suspectFactor = 4; // silence beyond so many mean intervals makes a suspect
-    milliseconds suspectFloor{1500}; // but never before this
-    milliseconds deadAfter{8000}; // silence that makes a member dead
-    milliseconds forgetAfter{60'000}; // a dead member is dropped
-    int relays = 2; // instances of a failure domain that speak to each other domain
+    double suspectFactor = 4;          // silence beyond so many mean intervals makes a suspect
+    milliseconds suspectFloor{1500};   // but never before this
+    milliseconds deadAfter{8000};      // silence that makes a member dead
+    milliseconds forgetAfter{60'000};  // a dead member is dropped
+    int relays = 2;                    // instances of a failure domain that speak to each other domain
 };
 
 // View of the other instances. Symmetric: whoever exchanges with us is known to us.
@@ -710,13 +750,15 @@
     std::vector<std::pair<member, member_state>> takeChanges(steady_time now);
 
 private:
-    struct known_member {
+    struct known_member
+    {
         member row;
-        steady_time heardAt; // when its sequence last rose
-        double meanIntervalMs = 0; // between rises
+        steady_time heardAt;                         // when its sequence last rose
+        double meanIntervalMs = 0;                   // between rises
         member_state reported = member_state::alive; // by takeChanges()
     };
-    struct sent_row {
+    struct sent_row
+    {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         std::uint64_t content = 0; // hash of all but the sequence
@@ -767,7 +809,8 @@
 //-----------------------------------------------------------------------------
 
 // Why something was decided. Counted in the metric chestnutgw_decisions_total and shown by `chestnutctl explain`.
-enum class decision_reason {
+enum class decision_reason
+{
     admitted,
     completed,
     refused_account_unknown,
@@ -799,4 +842,165 @@
 
 std::string_view toText(decision_reason reason);
 
+//-----------------------------------------------------------------------------
+// 10. Leases
+//-----------------------------------------------------------------------------
+
+// One entry of the leases stream.
+struct lease_record
+{
+    enum class kind
+    {
+        acquire, // asks for a lease that is free
+        renew,   // the holder goes on; names its fence
+        release, // the holder gives it back; names its fence
+        note,    // a decision made under the lease, for explain
+    };
+    kind type = kind::acquire;
+    std::string name;   // what the lease is for
+    std::string holder; // instance and incarnation
+    log_offset fence;   // renew, release, note: offset of the acquire record
+    std::string text;   // note: what was decided; acquire, renew: mark by which the sender knows it again
+};
+
+std::string encodeLease(const lease_record &record);
+// Throws std::invalid_argument.
+lease_record decodeLease(std::string_view text);
+
+struct lease_limits
+{
+    milliseconds term{4'000};          // a lease lasts this long after its last renewal
+    milliseconds renewEvery{1'000};    // the holder renews this often
+    milliseconds orderLifetime{3'000}; // longest time that an order sent under the lease may take effect
+};
+
+// Fold of the leases stream: a pure function of the records and their append times.
+class lease_table
+{
+public:
+    explicit lease_table(lease_limits limits)
+        : m_limits(limits)
+    {
+    }
+
+    struct held_lease
+    {
+        std::string holder;
+        log_offset fence;           // offset of the acquire record: the fencing number
+        std::int64_t renewedMs = 0; // log service's clock
+        bool released = false;
+        std::string mark; // text of the latest renewal
+    };
+
+    void apply(log_offset offset, std::int64_t timeMs, const lease_record &record);
+    // Latest lease of a name, possibly lapsed; nullptr = never held.
+    const held_lease *find(const std::string &name) const;
+    log_offset applied() const
+    {
+        return m_applied;
+    }
+    // Latest notes, oldest first.
+    const std::deque<lease_record> &notes() const
+    {
+        return m_notes;
+    }
+
+private:
+    lease_limits m_limits;
+    log_offset m_applied;
+    std::map<std::string, held_lease> m_leases;
+    std::deque<lease_record> m_notes;
+};
+
+// Keeps one lease for one holder. Driven by folded records, append results and time.
+class lease_keeper
+{
+public:
+    lease_keeper(std::string name, std::string holder, lease_limits limits);
+
+    // Record to append now, if any. The time of this call is what the holder's own deadline counts from.
+    std::optional<lease_record> due(steady_time now);
+    // To be called after each folded record.
+    void observe(const lease_table &table, steady_time now);
+    // Fencing number while the lease is certainly held; none otherwise. To be asked right before each send.
+    std::optional<log_offset> fence(steady_time now) const;
+    // Gives the lease back at the next due().
+    void release()
+    {
+        m_releasing = true;
+    }
+
+private:
+    std::string newMark(steady_time now);
+
+    std::string m_name;
+    std::string m_holder;
+    lease_limits m_limits;
+    std::optional<log_offset> m_fence;         // ours, by the fold
+    steady_time m_validUntil;                  // end of the term that the last folded renewal gave
+    std::map<std::string, steady_time> m_sent; // send times by mark
+    std::int64_t m_nextMark = 0;
+    steady_time m_changedAt; // when the fold last showed life in the lease
+    std::int64_t m_lastRenewedMs = -1;
+    steady_time m_nextTry;
+    bool m_releasing = false;
+};
+
+//-----------------------------------------------------------------------------
+// 11. Placement
+//-----------------------------------------------------------------------------
+
+// A server as placement sees it.
+struct placement_server
+{
+    server_id id;
+    domain_id domain;              // failure domain
+    double layerMs = 1;            // service time of one layer
+    int slots = 1;                 // activations served at once
+    int maxLayers = 1;             // layers that fit
+    bool available = true;         // reachable, neither leaving nor draining
+    bool loading = false;          // an order is under way
+    std::vector<holding> holdings; // by its own report
+};
+
+// A model version that must be served.
+struct placement_target
+{
+    model_id model;
+    std::string version;
+    int layers = 0;
+    double demand = 1; // relative share of the fleet's work that it should get
+};
+
+// A change of what one server holds.
+struct placement_move
+{
+    server_id server;
+    std::vector<holding> holdings; // whole wanted state
+    std::string reason;            // for people
+};
+
+// Greatest token rate of the servers that hold ranges of a model version, in tokens a second.
+double pipelineRate(const std::vector<placement_server> &servers, const model_id &model, const std::string &version, int layers);
+
+// Splits layers over servers in the given order so that the slowest stage is as fast as possible. Returns one range for
+// each server, empty ones for servers left out; an empty list if the layers do not fit.
+std::vector<layer_range> splitLayers(const std::vector<placement_server> &servers, int layers);
+
+// Next moves towards a placement that gives each target a complete pipeline, spread over failure domains. Servers on a
+// complete pipeline of a wanted version are left alone unless a target has none; the last pipeline of a version is never
+// broken. At most maxMoves servers load at the same time.
+std::vector<placement_move> planPlacement(const std::vector<placement_server> &servers, const std::vector<placement_target> &targets, int maxMoves);
+
+// A live server's contribution to one model.
+struct server_capacity
+{
+    layer_range range;          // held
+    double tokensPerSecond = 0; // greatest rate at which it can pass tokens through its layers
+};
+
+// Greatest token rate through a model: the maximum flow from layer 0 to the last layer, servers being edges from the
+// first layer they hold to the one after their last.
+double pipelineCapacity(const std::vector<server_capacity> &servers, int layers);
+
 }
--- a/src/core/config_fold.cpp
+++ b/src/core/config_fold.cpp
@@ -14,8 +14,21 @@
 
 json rowToJson(const config_row &row)
 {
-    return json{{"kind", row.kind}, {"name", row.name}, {"of", row.of}, {"failure_domain", row.failureDomain}, {"address", row.address}, {"accelerator", row.accelerator}, {"layers", row.layers}, {"weight", row.weight}, {"worth", row.worth},
-                {"tokens_per_second", row.tokensPerSecond}, {"deadline_ms", row.deadlineMs}, {"key_sha256", row.keySha256}, {"repeat", row.repeat}, {"checks_fence", row.checksFence}, {"state", row.state}};
+    return json{{"kind", row.kind},
+                {"name", row.name},
+                {"of", row.of},
+                {"failure_domain", row.failureDomain},
+                {"address", row.address},
+                {"accelerator", row.accelerator},
+                {"layers", row.layers},
+                {"weight", row.weight},
+                {"worth", row.worth},
+                {"tokens_per_second", row.tokensPerSecond},
+                {"deadline_ms", row.deadlineMs},
+                {"key_sha256", row.keySha256},
+                {"repeat", row.repeat},
+                {"checks_fence", row.checksFence},
+                {"state", row.state}};
 }
 
 config_row rowFromJson(const json &value)
@@ -150,7 +163,8 @@
             loaded.m_touched[key] = log_offset{touched.get<std::uint64_t>()};
         }
         for (const json &one : value.at("results")) {
-            const change_result result{log_offset{one.at("offset").get<std::uint64_t>()}, outcomeFromText(one.at("outcome").get<std::string>()), one.at("detail").get<std::string>()};
+            const change_result result{log_offset{one.at("offset").get<std::uint64_t>()}, outcomeFromText(one.at("outcome").get<std::string>()),
+                                       one.at("detail").get<std::string>()};
             loaded.m_results[one.at("id").get<std::string>()] = result;
             loaded.m_resultOrder.emplace_back(result.offset, one.at("id").get<std::string>());
         }
@@ -300,7 +314,8 @@
         const change_result &result = m_results.at(id);
         results.push_back({{"id", id}, {"offset", offset.value}, {"outcome", toText(result.outcome)}, {"detail", result.detail}});
     }
-    return json{{"type", "snapshot"}, {"as_of", m_applied.value}, {"rows", std::move(rows)}, {"touched", std::move(touched)}, {"results", std::move(results)}}.dump();
+    return json{{"type", "snapshot"}, {"as_of", m_applied.value}, {"rows", std::move(rows)}, {"touched", std::move(touched)}, {"results", std::move(results)}}
+        .dump();
 }
 
 std::vector<row_change> diffRows(const config_rows &from, const config_rows &to)
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -9,12 +9,12 @@
 namespace
 {
 
-constexpr int FAILURES_TO_EJECT = 3; // consecutive failed attempts
-constexpr double EJECTED_SHARE = 0.34; // at most this share of the servers is out by ejection
-constexpr milliseconds EJECTION_TIME{2000}; // first ejection; doubles with each further failure
+constexpr int FAILURES_TO_EJECT = 3;          // consecutive failed attempts
+constexpr double EJECTED_SHARE = 0.34;        // at most this share of the servers is out by ejection
+constexpr milliseconds EJECTION_TIME{2000};   // first ejection; doubles with each further failure
 constexpr int LONGEST_EJECTION_DOUBLINGS = 4; // 32 s
-constexpr double LINK_SMOOTHING = 0.2; // weight of a new link measurement
-constexpr double UNKNOWN_LINK_MS = 1; // before any measurement
+constexpr double LINK_SMOOTHING = 0.2;        // weight of a new link measurement
+constexpr double UNKNOWN_LINK_MS = 1;         // before any measurement
 
 void smooth(link_estimate &estimate, double delayMs)
 {
--- /dev/null
+++ b/src/core/lease.cpp
@@ -0,0 +1,167 @@
+// Leases. The steps of spec/lease.pml name the functions here.
+
+#include "core/chestnutgw.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr const char *KIND_NAMES[] = {"acquire", "renew", "release", "note"};
+constexpr std::size_t REMEMBERED_NOTES = 500;
+constexpr milliseconds ACQUIRE_MARGIN{500}; // beyond the time after which a silent lease is free
+
+}
+
+std::string encodeLease(const lease_record &record)
+{
+    return nlohmann::json{{"t", KIND_NAMES[static_cast<int>(record.type)]}, {"n", record.name}, {"h", record.holder}, {"f", record.fence.value}, {"x", record.text}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+lease_record decodeLease(std::string_view text)
+{
+    try {
+        const nlohmann::json value = nlohmann::json::parse(text);
+        lease_record record;
+        const std::string type = value.at("t").get<std::string>();
+        const auto *known = std::find(std::begin(KIND_NAMES), std::end(KIND_NAMES), type);
+        if (known == std::end(KIND_NAMES)) {
+            throw std::invalid_argument("unknown type of lease record");
+        }
+        record.type = static_cast<lease_record::kind>(known - std::begin(KIND_NAMES));
+        value.at("n").get_to(record.name);
+        value.at("h").get_to(record.holder);
+        value.at("f").get_to(record.fence.value);
+        value.at("x").get_to(record.text);
+        return record;
+    } catch (const nlohmann::json::exception &problem) {
+        throw std::invalid_argument(std::string("not a lease record: ") + problem.what());
+    }
+}
+
+// Step FOLD of spec/lease.pml. A lapsed lease may be taken over only after the orders sent under it have died, which is
+// what protects engines that ignore fencing numbers.
+void lease_table::apply(log_offset offset, std::int64_t timeMs, const lease_record &record)
+{
+    if (offset <= m_applied) {
+        return;
+    }
+    m_applied = offset;
+    if (record.type == lease_record::kind::note) {
+        m_notes.push_back(record);
+        if (m_notes.size() > REMEMBERED_NOTES) {
+            m_notes.pop_front();
+        }
+        return;
+    }
+    const auto found = m_leases.find(record.name);
+    if (record.type == lease_record::kind::acquire) {
+        const std::int64_t guard = (m_limits.term + m_limits.orderLifetime).count();
+        const bool free = found == m_leases.end() || timeMs > found->second.renewedMs + (found->second.released ? m_limits.orderLifetime.count() : guard);
+        if (free) {
+            m_leases[record.name] = {record.holder, offset, timeMs, false, record.text};
+        }
+        return;
+    }
+    const bool own = found != m_leases.end() && found->second.holder == record.holder && found->second.fence == record.fence && !found->second.released;
+    if (!own) {
+        return;
+    }
+    // A renewal that comes after the term is void: the holder stopped acting on the lease, and another may be taking it.
+    if (timeMs > found->second.renewedMs + m_limits.term.count()) {
+        return;
+    }
+    found->second.renewedMs = std::max(found->second.renewedMs, timeMs);
+    found->second.mark = record.text;
+    found->second.released = record.type == lease_record::kind::release;
+}
+
+const lease_table::held_lease *lease_table::find(const std::string &name) const
+{
+    const auto found = m_leases.find(name);
+    return found == m_leases.end() ? nullptr : &found->second;
+}
+
+lease_keeper::lease_keeper(std::string name, std::string holder, lease_limits limits)
+    : m_name(std::move(name))
+    , m_holder(std::move(holder))
+    , m_limits(limits)
+{
+}
+
+std::optional<lease_record> lease_keeper::due(steady_time now)
+{
+    if (m_changedAt == steady_time()) {
+        m_changedAt = now; // a lease that may exist gets its whole term before the first try
+    }
+    if (now < m_nextTry) {
+        return std::nullopt;
+    }
+    lease_record record;
+    record.name = m_name;
+    record.holder = m_holder;
+    if (m_fence) {
+        m_nextTry = now + m_limits.renewEvery;
+        record.type = m_releasing ? lease_record::kind::release : lease_record::kind::renew;
+        record.fence = *m_fence;
+        record.text = newMark(now);
+        return record;
+    }
+    const bool silent = m_lastRenewedMs < 0 || now - m_changedAt > m_limits.term + m_limits.orderLifetime + ACQUIRE_MARGIN;
+    if (m_releasing || !silent) {
+        return std::nullopt;
+    }
+    m_nextTry = now + m_limits.renewEvery;
+    record.text = newMark(now);
+    return record;
+}
+
+std::string lease_keeper::newMark(steady_time now)
+{
+    std::erase_if(m_sent, [&](const auto &entry) { return now - entry.second > m_limits.term * 4; });
+    const std::string mark = m_holder + "/" + std::to_string(m_nextMark++);
+    m_sent[mark] = now;
+    return mark;
+}
+
+// Step OBSERVE of spec/lease.pml. The term counts from the moment before the renewal was sent, which is never later than
+// the log's own time for it.
+void lease_keeper::observe(const lease_table &table, steady_time now)
+{
+    const lease_table::held_lease *lease = table.find(m_name);
+    if (lease == nullptr) {
+        return;
+    }
+    const bool sign = lease->renewedMs != m_lastRenewedMs || (m_fence && lease->fence != *m_fence);
+    if (!sign) {
+        return;
+    }
+    m_lastRenewedMs = lease->renewedMs;
+    m_changedAt = now;
+    if (lease->holder != m_holder || lease->released) {
+        m_fence.reset();
+        if (lease->released) {
+            m_changedAt = now - m_limits.term; // only the orders have to die
+        }
+        return;
+    }
+    m_fence = lease->fence;
+    const auto sent = m_sent.find(lease->mark);
+    if (sent != m_sent.end()) {
+        m_validUntil = std::max(m_validUntil, sent->second + m_limits.term);
+    }
+}
+
+std::optional<log_offset> lease_keeper::fence(steady_time now) const
+{
+    if (!m_fence || m_releasing || now >= m_validUntil) {
+        return std::nullopt;
+    }
+    return m_fence;
+}
+
+}
--- /dev/null
+++ b/src/core/placement.cpp
@@ -0,0 +1,371 @@
+// Sections: rates, splitting, what is in use, planning.
+
+#include "core/chestnutgw.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace chestnut
+{
+
+namespace
+{
+
+//-----------------------------------------------------------------------------
+// Rates
+//-----------------------------------------------------------------------------
+
+bool isPart(const holding &one, const placement_target &target)
+{
+    return one.model == target.model && one.version == target.version;
+}
+
+double stageMs(const placement_server &server, int layers)
+{
+    return server.layerMs * layers / server.slots;
+}
+
+// Layers that a complete chain of available servers reaches from the start, or from which it reaches the end.
+std::set<int> reachable(const std::vector<holding> &parts, int start, bool forward)
+{
+    std::set<int> reached{start};
+    bool grew = true;
+    while (grew) {
+        grew = false;
+        for (const holding &one : parts) {
+            const int from = forward ? one.range.first : one.range.last;
+            const int to = forward ? one.range.last : one.range.first;
+            grew = (reached.contains(from) && reached.insert(to).second) || grew;
+        }
+    }
+    return reached;
+}
+
+//-----------------------------------------------------------------------------
+// What is in use
+//-----------------------------------------------------------------------------
+
+std::vector<holding> partsOf(const std::vector<placement_server> &servers, const placement_target &target)
+{
+    std::vector<holding> parts;
+    for (const placement_server &server : servers) {
+        for (const holding &one : server.holdings) {
+            if (server.available && isPart(one, target)) {
+                parts.push_back(one);
+            }
+        }
+    }
+    return parts;
+}
+
+// True if the server is on a complete pipeline of a target.
+bool contributes(const placement_server &server, const std::vector<placement_server> &servers, const placement_target &target)
+{
+    const std::vector<holding> parts = partsOf(servers, target);
+    const std::set<int> fromStart = reachable(parts, 0, true);
+    const std::set<int> fromEnd = reachable(parts, target.layers, false);
+    return std::any_of(server.holdings.begin(), server.holdings.end(), [&](const holding &one) { return isPart(one, target) && fromStart.contains(one.range.first) && fromEnd.contains(one.range.last); });
+}
+
+std::vector<server_id> findFree(const std::vector<placement_server> &servers, const std::vector<placement_target> &targets)
+{
+    std::vector<server_id> free;
+    for (const placement_server &server : servers) {
+        if (!server.available || server.loading) {
+            continue;
+        }
+        const bool used = std::any_of(targets.begin(), targets.end(), [&](const placement_target &target) { return contributes(server, servers, target); });
+        if (!used) {
+            free.push_back(server.id);
+        }
+    }
+    return free;
+}
+
+//-----------------------------------------------------------------------------
+// Planning
+//-----------------------------------------------------------------------------
+
+// The plan works on a copy of the servers in which each move has already happened.
+struct planner {
+    std::vector<placement_server> servers;
+    const std::vector<placement_target> &targets;
+    std::set<server_id> free; // may be given anything
+    std::vector<placement_move> moves;
+    int movesLeft;
+
+    placement_server &server(const server_id &id)
+    {
+        return *std::find_if(servers.begin(), servers.end(), [&](const placement_server &one) { return one.id == id; });
+    }
+    double rate(const placement_target &target) const
+    {
+        return pipelineRate(servers, target.model, target.version, target.layers);
+    }
+    void move(const server_id &id, const placement_target &target, const layer_range &range, const std::string &reason)
+    {
+        placement_server &one = server(id);
+        one.holdings = {{target.model, target.version, range}};
+        free.erase(id);
+        moves.push_back({id, one.holdings, reason});
+        --movesLeft;
+    }
+};
+
+// Free servers of one failure domain, or of all, sorted by speed, so that neighbours form even groups.
+std::vector<placement_server> candidates(planner &plan, const domain_id &domain)
+{
+    std::vector<placement_server> list;
+    for (const server_id &id : plan.free) {
+        const placement_server &one = plan.server(id);
+        if (domain.empty() || one.domain == domain) {
+            list.push_back(one);
+        }
+    }
+    std::stable_sort(list.begin(), list.end(), [](const placement_server &left, const placement_server &right) { return stageMs(left, 1) < stageMs(right, 1); });
+    return list;
+}
+
+// Smallest run of neighbours that fits the layers, fastest first.
+std::vector<placement_server> smallestGroup(const std::vector<placement_server> &list, int layers)
+{
+    int room = 0;
+    std::vector<placement_server> group;
+    for (const placement_server &one : list) {
+        group.push_back(one);
+        room += one.maxLayers;
+        if (room >= layers) {
+            return group;
+        }
+    }
+    return {};
+}
+
+bool placeGroup(planner &plan, const placement_target &target, const std::vector<placement_server> &group, const std::string &reason)
+{
+    const std::vector<layer_range> ranges = splitLayers(group, target.layers);
+    if (ranges.empty()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < group.size(); ++i) {
+        if (ranges[i].count() > 0) {
+            plan.move(group[i].id, target, ranges[i], reason);
+        }
+    }
+    return true;
+}
+
+// Tokens a second that a domain contributes by itself to a target.
+double rateWithin(const planner &plan, const placement_target &target, const domain_id &domain)
+{
+    std::vector<placement_server> own;
+    for (const placement_server &one : plan.servers) {
+        if (one.domain == domain) {
+            own.push_back(one);
+        }
+    }
+    return pipelineRate(own, target.model, target.version, target.layers);
+}
+
+// A stage whose servers are gone while others of the same pipeline still hold their parts: the cheapest repair.
+bool fillGap(planner &plan, const placement_target &target)
+{
+    const std::vector<holding> parts = partsOf(plan.servers, target);
+    const std::set<int> fromStart = reachable(parts, 0, true);
+    const std::set<int> fromEnd = reachable(parts, target.layers, false);
+    for (const int first : fromStart) {
+        for (const int last : fromEnd) {
+            if (last <= first || (first == 0 && last == target.layers)) {
+                continue;
+            }
+            for (const placement_server &one : candidates(plan, {})) {
+                if (one.maxLayers >= last - first) {
+                    plan.move(one.id, target, {first, last}, "fills the gap in layers " + std::to_string(first) + "-" + std::to_string(last));
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+// A new pipeline inside the failure domain that has least of this target.
+bool addPipeline(planner &plan, const placement_target &target)
+{
+    std::set<domain_id> domains;
+    for (const server_id &id : plan.free) {
+        domains.insert(plan.server(id).domain);
+    }
+    std::vector<std::pair<double, domain_id>> byRate;
+    for (const domain_id &domain : domains) {
+        byRate.emplace_back(rateWithin(plan, target, domain), domain);
+    }
+    std::sort(byRate.begin(), byRate.end());
+    for (const auto &[rate, domain] : byRate) {
+        const std::vector<placement_server> group = smallestGroup(candidates(plan, domain), target.layers);
+        if (!group.empty() && placeGroup(plan, target, group, "new pipeline in " + domain.text)) {
+            return true;
+        }
+    }
+    const std::vector<placement_server> group = smallestGroup(candidates(plan, {}), target.layers);
+    return !group.empty() && placeGroup(plan, target, group, "new pipeline over several failure domains");
+}
+
+// A server too few for a pipeline becomes a spare of the stage with the least capacity that fits it.
+bool addSpare(planner &plan, const placement_target &target)
+{
+    std::map<layer_range, double> capacity;
+    for (const placement_server &server : plan.servers) {
+        for (const holding &one : server.holdings) {
+            if (server.available && isPart(one, target)) {
+                capacity[one.range] += 1 / stageMs(server, one.range.count());
+            }
+        }
+    }
+    for (const placement_server &one : candidates(plan, {})) {
+        const layer_range *weakest = nullptr;
+        for (const auto &[range, rate] : capacity) {
+            if (range.count() <= one.maxLayers && (weakest == nullptr || rate < capacity[*weakest])) {
+                weakest = &range;
+            }
+        }
+        if (weakest != nullptr) {
+            plan.move(one.id, target, *weakest, "spare for layers " + std::to_string(weakest->first) + "-" + std::to_string(weakest->last));
+            return true;
+        }
+    }
+    return false;
+}
+
+// Takes servers from the version with most to spare until a group fits. Each taken server leaves the donor a pipeline.
+bool takeFromRichest(planner &plan, const placement_target &target)
+{
+    const placement_target *donor = nullptr;
+    for (const placement_target &one : plan.targets) {
+        const bool other = one.model != target.model || one.version != target.version;
+        if (other && plan.rate(one) > 0 && (donor == nullptr || plan.rate(one) / one.demand > plan.rate(*donor) / donor->demand)) {
+            donor = &one;
+        }
+    }
+    if (donor == nullptr) {
+        return false;
+    }
+    planner trial = plan;
+    int room = 0;
+    for (const server_id &id : trial.free) {
+        room += trial.server(id).maxLayers;
+    }
+    std::vector<server_id> taken;
+    for (const placement_server &one : plan.servers) {
+        if (room >= target.layers) {
+            break;
+        }
+        const bool holds = one.available && !one.loading && std::any_of(one.holdings.begin(), one.holdings.end(), [&](const holding &part) { return isPart(part, *donor); });
+        if (!holds) {
+            continue;
+        }
+        placement_server &copy = trial.server(one.id);
+        const std::vector<holding> before = std::exchange(copy.holdings, {});
+        if (trial.rate(*donor) <= 0) {
+            copy.holdings = before;
+            continue;
+        }
+        trial.free.insert(one.id);
+        taken.push_back(one.id);
+        room += one.maxLayers;
+    }
+    const std::vector<placement_server> group = smallestGroup(candidates(trial, {}), target.layers);
+    if (group.empty() || !placeGroup(trial, target, group, "taken from " + donor->model.text + "@" + donor->version)) {
+        return false;
+    }
+    plan.servers = trial.servers;
+    plan.free = trial.free;
+    plan.moves = trial.moves;
+    plan.movesLeft = trial.movesLeft;
+    return true;
+}
+
+const placement_target *neediest(const planner &plan, const std::set<const placement_target *> &satisfied)
+{
+    const placement_target *needy = nullptr;
+    double least = std::numeric_limits<double>::infinity();
+    for (const placement_target &target : plan.targets) {
+        const double rate = plan.rate(target) / std::max(1e-9, target.demand);
+        if (!satisfied.contains(&target) && rate < least) {
+            needy = &target;
+            least = rate;
+        }
+    }
+    return needy;
+}
+
+}
+
+double pipelineRate(const std::vector<placement_server> &servers, const model_id &model, const std::string &version, int layers)
+{
+    std::vector<server_capacity> parts;
+    for (const placement_server &server : servers) {
+        for (const holding &one : server.holdings) {
+            if (server.available && one.model == model && one.version == version) {
+                parts.push_back({one.range, 1000 / stageMs(server, one.range.count())});
+            }
+        }
+    }
+    return pipelineCapacity(parts, layers);
+}
+
+std::vector<layer_range> splitLayers(const std::vector<placement_server> &servers, int layers)
+{
+    constexpr double IMPOSSIBLE = std::numeric_limits<double>::infinity();
+    const std::size_t count = servers.size();
+    const auto width = static_cast<std::size_t>(layers) + 1;
+    // slowest[i][l]: time of the slowest stage when the first i servers hold the first l layers.
+    std::vector<std::vector<double>> slowest(count + 1, std::vector<double>(width, IMPOSSIBLE));
+    std::vector<std::vector<int>> taken(count + 1, std::vector<int>(width, 0));
+    slowest[0][0] = 0;
+    for (std::size_t i = 1; i <= count; ++i) {
+        for (int l = 0; l <= layers; ++l) {
+            for (int k = 0; k <= std::min(l, servers[i - 1].maxLayers); ++k) {
+                const double time = std::max(slowest[i - 1][static_cast<std::size_t>(l - k)], stageMs(servers[i - 1], k));
+                if (time < slowest[i][static_cast<std::size_t>(l)]) {
+                    slowest[i][static_cast<std::size_t>(l)] = time;
+                    taken[i][static_cast<std::size_t>(l)] = k;
+                }
+            }
+        }
+    }
+    if (slowest[count][static_cast<std::size_t>(layers)] == IMPOSSIBLE) {
+        return {};
+    }
+    std::vector<layer_range> ranges(count);
+    int last = layers;
+    for (std::size_t i = count; i > 0; --i) {
+        const int first = last - taken[i][static_cast<std::size_t>(last)];
+        ranges[i - 1] = {first, last};
+        last = first;
+    }
+    return ranges;
+}
+
+std::vector<placement_move> planPlacement(const std::vector<placement_server> &servers, const std::vector<placement_target> &targets, int maxMoves)
+{
+    const auto loading = std::count_if(servers.begin(), servers.end(), [](const placement_server &one) { return one.loading; });
+    planner plan{servers, targets, {}, {}, maxMoves - static_cast<int>(loading)};
+    for (const server_id &id : findFree(servers, targets)) {
+        plan.free.insert(id);
+    }
+    std::set<const placement_target *> satisfied;
+    while (plan.movesLeft > 0) {
+        const placement_target *target = neediest(plan, satisfied);
+        if (target == nullptr) {
+            break;
+        }
+        const bool placed = fillGap(plan, *target) || addPipeline(plan, *target) || (plan.rate(*target) <= 0 && takeFromRichest(plan, *target)) || addSpare(plan, *target);
+        if (!placed) {
+            satisfied.insert(target); // nothing more can be done for it now
+        }
+    }
+    return plan.moves;
+}
+
+}
--- a/src/core/retry.cpp
+++ b/src/core/retry.cpp
@@ -40,10 +40,33 @@
 
 std::string_view toText(decision_reason reason)
 {
-    static constexpr std::string_view NAMES[] = {"admitted",         "completed",       "refused_account_unknown", "refused_account_suspended", "refused_not_granted", "refused_rate", "refused_overload",
-                                                 "refused_deadline", "refused_no_chain", "refused_log_down",        "refused_shutdown",          "stage_failed",        "stage_silent", "stage_left",
-                                                 "token_rejected",   "resumed",         "retry_budget_empty",      "gave_up",                   "caller_gone",         "claim_won",    "claim_recorded",
-                                                 "claim_lost",       "claim_mismatch",  "claim_expired",           "dispatched",                "dispatch_failed",     "outcome_recorded"};
+    static constexpr std::string_view NAMES[] = {"admitted",
+                                                 "completed",
+                                                 "refused_account_unknown",
+                                                 "refused_account_suspended",
+                                                 "refused_not_granted",
+                                                 "refused_rate",
+                                                 "refused_overload",
+                                                 "refused_deadline",
+                                                 "refused_no_chain",
+                                                 "refused_log_down",
+                                                 "refused_shutdown",
+                                                 "stage_failed",
+                                                 "stage_silent",
+                                                 "stage_left",
+                                                 "token_rejected",
+                                                 "resumed",
+                                                 "retry_budget_empty",
+                                                 "gave_up",
+                                                 "caller_gone",
+                                                 "claim_won",
+                                                 "claim_recorded",
+                                                 "claim_lost",
+                                                 "claim_mismatch",
+                                                 "claim_expired",
+                                                 "dispatched",
+                                                 "dispatch_failed",
+                                                 "outcome_recorded"};
     return NAMES[static_cast<int>(reason)];
 }
 
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -11,11 +11,12 @@
 
 constexpr std::size_t CANDIDATES_PER_STAGE = 24; // servers rated for one position; more are sampled, so that the cost of a choice does not grow with the fleet
 
-struct candidate {
+struct candidate
+{
     const fleet_server *server = nullptr;
     layer_range range;
     double cost = std::numeric_limits<double>::infinity(); // cheapest way from layer 0 to the end of this stage
-    const candidate *previous = nullptr; // stage before on that way
+    const candidate *previous = nullptr;                   // stage before on that way
 };
 
 using candidates_by_start = std::map<int, std::vector<candidate>>;
@@ -103,7 +104,8 @@
     if (finals.empty()) {
         return std::nullopt;
     }
-    const candidate *best = *std::min_element(finals.begin(), finals.end(), [](const candidate *left, const candidate *right) { return left->cost < right->cost; });
+    const candidate *best
+        = *std::min_element(finals.begin(), finals.end(), [](const candidate *left, const candidate *right) { return left->cost < right->cost; });
     pipeline_chain chain = unwind(*best);
     policy.chosen(chain);
     return chain;
--- a/src/core/sheet.cpp
+++ b/src/core/sheet.cpp
@@ -18,14 +18,15 @@
 
 using cell_member = std::variant<std::string config_row::*, int config_row::*, double config_row::*>;
 
-struct column {
-    const char *name; // header cell
-    cell_member member; // where the cell goes
+struct column
+{
+    const char *name;                 // header cell
+    cell_member member;               // where the cell goes
     std::set<std::string> requiredBy; // kinds that must fill it
     std::set<std::string> allowedFor; // kinds that may fill it
-    double lowest; // numbers: least value
-    double highest; // numbers: greatest value
-    std::set<std::string> words; // texts: allowed words, empty = any
+    double lowest;                    // numbers: least value
+    double highest;                   // numbers: greatest value
+    std::set<std::string> words;      // texts: allowed words, empty = any
 };
 
 const std::set<std::string> KINDS{"account", "model", "version", "grant", "server", "service", "replica"};
@@ -82,9 +83,10 @@
 // Parsing
 //-----------------------------------------------------------------------------
 
-struct csv_state {
+struct csv_state
+{
     std::vector<std::vector<std::string>> rows; // cells
-    std::vector<std::string> current; // row being read
+    std::vector<std::string> current;           // row being read
 };
 
 std::string trimmed(std::string_view text)
@@ -118,7 +120,8 @@
         row.*(*member) = text;
         return {};
     }
-    const std::string allowed = "'" + text + "' is not allowed (allowed: a number from " + formatNumber(where.lowest) + " to " + formatNumber(where.highest) + ")";
+    const std::string allowed
+        = "'" + text + "' is not allowed (allowed: a number from " + formatNumber(where.lowest) + " to " + formatNumber(where.highest) + ")";
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (error != std::errc() || end != text.data() + text.size() || !(value >= where.lowest && value <= where.highest)) {
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -25,18 +25,20 @@
 constexpr int EXIT_WRONG_USE = 2;
 constexpr int EXIT_NOT_SETTLED = 3;
 constexpr milliseconds REQUEST_MARGIN{5000}; // beyond the time that the instance itself may take
-constexpr milliseconds WAIT_STEP{100}; // between looks at the instances
-
-struct ctl_options {
-    std::vector<std::string> words; // command and its arguments
-    std::string entry = "127.0.0.1:8080"; // IP:port of any instance
-    std::string key; // operators' bearer key
-    std::string author; // written into changes
-    std::string id; // of a change, for repeating it safely
-    std::string base; // offset that the sheet was made from
-    bool printJson = false; // raw answers
-    bool wait = false; // until all live instances have it in force
-    milliseconds timeout{30'000}; // for a change to settle and reach all
+constexpr milliseconds WAIT_STEP{100};       // between looks at the instances
+
+struct ctl_options
+{
+    std::vector<std::string> words;            // command and its arguments
+    std::string entry = "127.0.0.1:8080";      // IP:port of any instance
+    std::string controller = "127.0.0.1:8090"; // IP:port of any controller
+    std::string key;                           // operators' bearer key
+    std::string author;                        // written into changes
+    std::string id;                            // of a change, for repeating it safely
+    std::string base;                          // offset that the sheet was made from
+    bool printJson = false;                    // raw answers
+    bool wait = false;                         // until all live instances have it in force
+    milliseconds timeout{30'000};              // for a change to settle and reach all
 };
 
 //-----------------------------------------------------------------------------
@@ -153,7 +155,8 @@
         return printProblems(problems);
     }
     if (answer.contains("error")) {
-        printError(answer["error"].value("message", "failed") + " (" + answer["error"].value("code", "") + ", verdict " + answer["error"].value("verdict", "") + ")");
+        printError(answer["error"].value("message", "failed") + " (" + answer["error"].value("code", "") + ", verdict " + answer["error"].value("verdict", "")
+                   + ")");
         return answer["http_status"] == 504 ? EXIT_NOT_SETTLED : EXIT_FAILED;
     }
     printError(answer.dump());
@@ -325,12 +328,14 @@
         printLine(status.dump());
         return 0;
     }
-    printLine("instance " + textOf(status["instance"]) + " " + textOf(status["version"]) + ": configuration " + textOf(status["config_offset"]) + " (age " + textOf(status["config_age_ms"]) + " ms), log reachable " + textOf(status["log_reachable"]) +
-              ", claims " + textOf(status["claims_offset"]) + ", keys " + textOf(status["keys"]) + ", in flight " + textOf(status["in_flight"]));
+    printLine("instance " + textOf(status["instance"]) + " " + textOf(status["version"]) + ": configuration " + textOf(status["config_offset"]) + " (age "
+              + textOf(status["config_age_ms"]) + " ms), log reachable " + textOf(status["log_reachable"]) + ", claims " + textOf(status["claims_offset"])
+              + ", keys " + textOf(status["keys"]) + ", in flight " + textOf(status["in_flight"]));
     printLine("");
     std::vector<std::vector<std::string>> instances{{"INSTANCE", "FAILURE DOMAIN", "STATE", "LEAVING", "CONFIG", "CLAIMS", "IN FLIGHT"}};
     for (const json &one : status.at("instances")) {
-        instances.push_back({textOf(one["instance"]), textOf(one["failure_domain"]), textOf(one["state"]), textOf(one["leaving"]), textOf(one["config_offset"]), textOf(one["claims_offset"]), textOf(one["streams"])});
+        instances.push_back({textOf(one["instance"]), textOf(one["failure_domain"]), textOf(one["state"]), textOf(one["leaving"]), textOf(one["config_offset"]),
+                             textOf(one["claims_offset"]), textOf(one["streams"])});
     }
     printTable(instances);
     printLine("");
@@ -365,9 +370,36 @@
     return 0;
 }
 
+int explainPlacement(const ctl_options &options)
+{
+    ctl_options asked = options;
+    asked.entry = options.controller;
+    const json answer = askJson(asked, "GET", "/operator/placement");
+    if (options.printJson) {
+        printLine(answer.dump());
+        return 0;
+    }
+    printLine("lease held by " + textOf(answer.at("holder")) + " with fencing number " + textOf(answer.at("fence")));
+    for (const auto &[model, rate] : answer.at("tokens_per_second").items()) {
+        if (model.starts_with(options.words.at(2))) {
+            printLine(model + " can do " + std::to_string(static_cast<int>(rate.get<double>())) + " tokens/s");
+        }
+    }
+    std::vector<std::vector<std::string>> table{{"BY", "DECISION"}};
+    for (const json &one : answer.at("decisions")) {
+        if (textOf(one["text"]).find(" " + options.words.at(2) + "@") != std::string::npos) {
+            table.push_back({textOf(one["by"]), textOf(one["text"])});
+        }
+    }
+    printTable(table);
+    return 0;
+}
+
 int setServerState(const ctl_options &options, const std::string &state)
 {
-    return finishChange(options, askJson(options, "POST", "/operator/server-state?server=" + encodeQuery(options.words.at(1)) + "&state=" + state + "&" + changeQuery(options)));
+    return finishChange(
+        options,
+        askJson(options, "POST", "/operator/server-state?server=" + encodeQuery(options.words.at(1)) + "&state=" + state + "&" + changeQuery(options)));
 }
 
 int drainServer(const ctl_options &options)
@@ -390,9 +422,10 @@
 // Main
 //-----------------------------------------------------------------------------
 
-struct command {
+struct command
+{
     std::vector<std::string> words; // fixed first words
-    std::size_t arguments; // words after them
+    std::size_t arguments;          // words after them
     const char *usage;
     const char *help;
     int (*run)(const ctl_options &);
@@ -408,6 +441,7 @@
         {{"sheet", "status"}, 0, "sheet status", "offset in force on each instance", sheetStatus},
         {{"status"}, 0, "status", "instances, failure domains, backend servers", showStatus},
         {{"explain", "request"}, 1, "explain request ID", "what was decided on a request, on the instance that had it", explainRequest},
+        {{"explain", "placement"}, 1, "explain placement MODEL", "what a controller decided on a model", explainPlacement},
         {{"drain"}, 1, "drain SERVER [--wait]", "no new work for a backend server", drainServer},
         {{"undrain"}, 1, "undrain SERVER [--wait]", "new work again", undrainServer},
         {{"log-level"}, 1, "log-level LEVEL", "debug, info, warning or error", setLogLevelCommand},
@@ -451,8 +485,12 @@
     ctl_options parsed;
     cxxopts::Options options("chestnutctl", "Operates a chestnutgw deployment through any of its instances");
     options.positional_help("COMMAND ...");
-    options.add_options()("e,entry", "IP:port of an instance; default from CHESTNUTGW_ENTRY", cxxopts::value<std::string>()->default_value(environment("CHESTNUTGW_ENTRY", parsed.entry)));
-    options.add_options()("key", "operators' bearer key; default from CHESTNUTGW_KEY", cxxopts::value<std::string>()->default_value(environment("CHESTNUTGW_KEY", "")));
+    options.add_options()("e,entry", "IP:port of an instance; default from CHESTNUTGW_ENTRY",
+                          cxxopts::value<std::string>()->default_value(environment("CHESTNUTGW_ENTRY", parsed.entry)));
+    options.add_options()("controller", "IP:port of a controller; default from CHESTNUTGW_CONTROLLER",
+                          cxxopts::value<std::string>()->default_value(environment("CHESTNUTGW_CONTROLLER", parsed.controller)));
+    options.add_options()("key", "operators' bearer key; default from CHESTNUTGW_KEY",
+                          cxxopts::value<std::string>()->default_value(environment("CHESTNUTGW_KEY", "")));
     options.add_options()("author", "written into changes", cxxopts::value<std::string>()->default_value(environment("USER", "operator")));
     options.add_options()("id", "id of the change; repeating it is harmless", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("base", "offset that the sheet was made from; default: the one in force", cxxopts::value<std::string>()->default_value(""));
@@ -473,6 +511,7 @@
             return 0;
         }
         parsed.entry = given["entry"].as<std::string>();
+        parsed.controller = given["controller"].as<std::string>();
         parsed.key = given["key"].as<std::string>();
         parsed.author = given["author"].as<std::string>();
         parsed.id = given["id"].as<std::string>();
--- a/src/ctl/x.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// placeholder
--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr std::size_t RECENT_RECORDS = 2000; // kept for peers
-constexpr milliseconds APPEND_RETRY{300}; // after an append that did not succeed
+constexpr milliseconds APPEND_RETRY{300};    // after an append that did not succeed
 
 }
 
@@ -23,10 +23,13 @@
                       m_fold.startEmpty();
                       putIntoForce();
                   },
-                  [](bool reachable) { logLine(log_level::warning, reachable ? "log_reachable" : "log_unreachable", {{"stream", CONFIG_STREAM}}); }})
+                  [](bool reachable) {
+                      logLine(log_level::warning, reachable ? "log_reachable" : "log_unreachable", {{"stream", CONFIG_STREAM}});
+                  }})
     , m_confirmedAt(std::chrono::steady_clock::now())
 {
-    m_follower.setFallback([&peers](const std::string &stream, log_offset from, std::function<void(read_result)> done) { peers.readThroughPeers(stream, from, std::move(done)); });
+    m_follower.setFallback(
+        [&peers](const std::string &stream, log_offset from, std::function<void(read_result)> done) { peers.readThroughPeers(stream, from, std::move(done)); });
 }
 
 void config_service::start()
--- a/src/entry/config_service.h
+++ b/src/entry/config_service.h
@@ -39,7 +39,8 @@
     milliseconds age() const;
 
 private:
-    struct pending_change {
+    struct pending_change
+    {
         config_change change;
         steady_time deadline;
         std::function<void(std::optional<change_result>)> done;
@@ -56,10 +57,10 @@
     log_service &m_relayed;
     stream_follower m_follower;
     config_fold m_fold;
-    std::unique_ptr<config_fold> m_next; // being rebuilt after records were lost
-    std::deque<log_entry> m_recent; // for peers
+    std::unique_ptr<config_fold> m_next;             // being rebuilt after records were lost
+    std::deque<log_entry> m_recent;                  // for peers
     std::map<std::string, pending_change> m_pending; // by change id
-    steady_time m_confirmedAt; // last contact with the log
+    steady_time m_confirmedAt;                       // last contact with the log
 };
 
 }
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -43,7 +43,7 @@
 void checkSettings(const entry_settings &settings)
 {
     constexpr double WINDOW_SHARE = 0.5; // of the retention; the rest is the margin for clocks and slow readers
-    constexpr int DISPATCH_FACTOR = 10; // the dispatch limit is at most this fraction of the window
+    constexpr int DISPATCH_FACTOR = 10;  // the dispatch limit is at most this fraction of the window
     if (settings.logFormat != "text" && settings.logFormat != "json") {
         throw settings_error("log.format: '" + settings.logFormat + "' (allowed: text or json)");
     }
--- a/src/entry/http_surface.cpp
+++ b/src/entry/http_surface.cpp
@@ -36,7 +36,13 @@
 json memberToJson(const member &row, member_state state)
 {
     static constexpr const char *NAMES[] = {"alive", "suspect", "dead"};
-    return json{{"instance", row.id.text}, {"failure_domain", row.domain.text}, {"peer_address", row.address}, {"state", NAMES[static_cast<int>(state)]}, {"leaving", row.leaving}, {"config_offset", row.configOffset.value}, {"claims_offset", row.claimsOffset.value},
+    return json{{"instance", row.id.text},
+                {"failure_domain", row.domain.text},
+                {"peer_address", row.address},
+                {"state", NAMES[static_cast<int>(state)]},
+                {"leaving", row.leaving},
+                {"config_offset", row.configOffset.value},
+                {"claims_offset", row.claimsOffset.value},
                 {"streams", row.streams}};
 }
 
@@ -49,7 +55,15 @@
         }
     }
     const std::string_view why = one.unusable(now);
-    return json{{"server", one.id.text}, {"failure_domain", one.domain.text}, {"address", one.address}, {"usable", why.empty()}, {"reason", why}, {"holds", holds}, {"own_streams", one.inFlight}, {"streams", one.report ? one.report->streams : 0}, {"failures", one.failures}};
+    return json{{"server", one.id.text},
+                {"failure_domain", one.domain.text},
+                {"address", one.address},
+                {"usable", why.empty()},
+                {"reason", why},
+                {"holds", holds},
+                {"own_streams", one.inFlight},
+                {"streams", one.report ? one.report->streams : 0},
+                {"failures", one.failures}};
 }
 
 }
@@ -262,7 +276,8 @@
     const std::size_t count = change.rows.size();
     m_parts.config.publish(std::move(change), patience, [this, call, id, count](const std::optional<change_result> &result) {
         if (!result) {
-            call->respond(errorResponse(504, "not_settled", "the log did not settle the change '" + id + "' in time; ask again with the same id", verdict::may_have_run, SHUTDOWN_RETRY_AFTER));
+            call->respond(errorResponse(504, "not_settled", "the log did not settle the change '" + id + "' in time; ask again with the same id",
+                                        verdict::may_have_run, SHUTDOWN_RETRY_AFTER));
             return;
         }
         json body = resultToJson(id, *result);
@@ -275,7 +290,11 @@
 {
     const parsed_sheet sheet = parseSheet(call->body());
     if (!sheet.problems.empty()) {
-        answerJson(call, json{{"error", {{"code", "bad_sheet"}, {"message", "the sheet has faults; nothing was applied"}, {"verdict", "not_run"}}}, {"problems", problemsToJson(sheet.problems)}}.dump(), 400);
+        answerJson(call,
+                   json{{"error", {{"code", "bad_sheet"}, {"message", "the sheet has faults; nothing was applied"}, {"verdict", "not_run"}}},
+                        {"problems", problemsToJson(sheet.problems)}}
+                       .dump(),
+                   400);
         return;
     }
     m_parts.control.post([this, call, sheet] {
@@ -302,7 +321,9 @@
         }
         change.rows = diffRows(*before, wanted);
         if (change.rows.empty()) {
-            answerJson(call, json{{"id", change.id}, {"offset", fold.applied().value}, {"outcome", "accepted"}, {"detail", "nothing to change"}, {"changed_rows", 0}}.dump());
+            answerJson(call,
+                       json{{"id", change.id}, {"offset", fold.applied().value}, {"outcome", "accepted"}, {"detail", "nothing to change"}, {"changed_rows", 0}}
+                           .dump());
             return;
         }
         publish(call, std::move(change));
--- a/src/entry/http_surface.h
+++ b/src/entry/http_surface.h
@@ -10,7 +10,8 @@
 {
 
 // What the surface hands requests to.
-struct surface_parts {
+struct surface_parts
+{
     event_loop &control; // loop of the parts below
     config_service &config;
     ledger &claims;
@@ -32,7 +33,8 @@
     using call_pointer = std::shared_ptr<http_call>;
     using route_handler = void (http_surface::*)(const call_pointer &);
 
-    struct route {
+    struct route
+    {
         const char *method;
         const char *path; // whole path, or a prefix ending in '/'
         route_handler handler;
--- a/src/entry/ledger.cpp
+++ b/src/entry/ledger.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr milliseconds TICK{50}; // deadlines are checked this often
+constexpr milliseconds TICK{50};              // deadlines are checked this often
 constexpr milliseconds LONGEST_INTERVAL{500}; // between appends while the log throttles
 
 claim_limits limitsOf(const entry_settings &settings)
@@ -42,12 +42,16 @@
                   },
                   [this] {
                       m_desk.setReady(true);
-                      logLine(log_level::info, "claims_ready", {{"offset", std::to_string(m_desk.table().applied().value)}, {"keys", std::to_string(m_desk.table().size())}});
+                      logLine(log_level::info, "claims_ready",
+                              {{"offset", std::to_string(m_desk.table().applied().value)}, {"keys", std::to_string(m_desk.table().size())}});
                   },
-                  [](bool reachable) { logLine(log_level::warning, reachable ? "log_reachable" : "log_unreachable", {{"stream", CLAIMS_STREAM}}); }})
+                  [](bool reachable) {
+                      logLine(log_level::warning, reachable ? "log_reachable" : "log_unreachable", {{"stream", CLAIMS_STREAM}});
+                  }})
     , m_interval(shared.settings.appendInterval)
 {
-    m_follower.setFallback([&peers](const std::string &stream, log_offset from, std::function<void(read_result)> done) { peers.readThroughPeers(stream, from, std::move(done)); });
+    m_follower.setFallback(
+        [&peers](const std::string &stream, log_offset from, std::function<void(read_result)> done) { peers.readThroughPeers(stream, from, std::move(done)); });
 }
 
 void ledger::start()
@@ -114,7 +118,8 @@
         static constexpr const char *NAMES[] = {"appended", "refused", "throttled", "unknown"};
         m_shared.counters.count("chestnutgw_claim_append_results_total", {{"result", NAMES[static_cast<int>(result.status)]}});
         const bool throttled = result.status == append_status::throttled;
-        m_interval = throttled ? std::min(LONGEST_INTERVAL, m_interval * 2 + milliseconds(1)) : std::max(m_shared.settings.appendInterval, m_interval - milliseconds(1));
+        m_interval = throttled ? std::min(LONGEST_INTERVAL, m_interval * 2 + milliseconds(1))
+                               : std::max(m_shared.settings.appendInterval, m_interval - milliseconds(1));
         m_desk.appendEnded(result.status, std::chrono::steady_clock::now());
         deliver();
     });
--- a/src/entry/load_monitor.h
+++ b/src/entry/load_monitor.h
@@ -23,9 +23,9 @@
     entry_shared &m_shared;
     event_loop &m_loop;
     engine_adapter &m_engines;
-    instance_list *m_list; // none = every server counts as listed
+    instance_list *m_list;               // none = every server counts as listed
     std::map<server_id, bool> m_leaving; // last logged state
-    std::set<server_id> m_outstanding; // reports being fetched
+    std::set<server_id> m_outstanding;   // reports being fetched
 };
 
 }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -47,7 +47,9 @@
         , m_incarnation(static_cast<std::uint64_t>(wallClockMs()))
         , m_control("control")
         , m_log(plugin_registry<log_service, event_loop &, const std::string &>::instance().make(settings.logAdapter, m_control, settings.logUrl))
-        , m_list(settings.listUrl.empty() ? nullptr : plugin_registry<instance_list, event_loop &, const std::string &>::instance().make(settings.listAdapter, m_control, settings.listUrl))
+        , m_list(settings.listUrl.empty()
+                     ? nullptr
+                     : plugin_registry<instance_list, event_loop &, const std::string &>::instance().make(settings.listAdapter, m_control, settings.listUrl))
         , m_engines(plugin_registry<engine_adapter, event_loop &>::instance().make(settings.engineAdapter, m_control))
         , m_members(describeSelf(settings, m_incarnation), {})
         , m_peers(m_control, m_shared.counters, m_members, settings.address + ":" + std::to_string(settings.peerPort), peerHandler())
@@ -61,7 +63,8 @@
         for (int i = 0; i < settings.shards; ++i) {
             m_shardLoops.push_back(std::make_unique<event_loop>("shard-" + std::to_string(i)));
             auto engines = plugin_registry<engine_adapter, event_loop &>::instance().make(settings.engineAdapter, *m_shardLoops.back());
-            m_pipelines.push_back(std::make_unique<pipeline_driver>(m_shared, *m_shardLoops.back(), std::move(engines), static_cast<std::uint64_t>(settings.seed + i)));
+            m_pipelines.push_back(
+                std::make_unique<pipeline_driver>(m_shared, *m_shardLoops.back(), std::move(engines), static_cast<std::uint64_t>(settings.seed + i)));
         }
         m_surface = std::make_unique<http_surface>(m_shared, surface_parts{m_control, m_config, m_claims, m_members, m_peers, m_pipelines, m_services});
         startControl();
@@ -75,7 +78,8 @@
 
     std::string describe() const
     {
-        return "listening on " + m_shared.settings.address + ":" + std::to_string(m_server->port()) + " peers " + m_shared.settings.address + ":" + std::to_string(m_peers.port());
+        return "listening on " + m_shared.settings.address + ":" + std::to_string(m_server->port()) + " peers " + m_shared.settings.address + ":"
+            + std::to_string(m_peers.port());
     }
 
     // Ends every request in flight whole, within the drain limit.
@@ -101,7 +105,9 @@
             }
             m_log->read(stream, from, 2000, milliseconds(0), done);
         };
-        handler.append = [this](const std::string &stream, std::vector<std::string> records, std::function<void(append_result)> done) { m_log->append(stream, std::move(records), std::move(done)); };
+        handler.append = [this](const std::string &stream, std::vector<std::string> records, std::function<void(append_result)> done) {
+            m_log->append(stream, std::move(records), std::move(done));
+        };
         handler.onExchange = [this](const std::vector<member> &rows) {
             for (const member &row : rows) {
                 m_config.hint(row.configOffset);
--- a/src/entry/pipeline_driver.cpp
+++ b/src/entry/pipeline_driver.cpp
@@ -10,10 +10,10 @@
 namespace
 {
 
-constexpr milliseconds CHAIN_WAIT{100}; // between looks for a chain while none covers the model
-constexpr double PROGRESS_FACTOR = 10; // silence beyond so many usual token intervals is a failure
+constexpr milliseconds CHAIN_WAIT{100};     // between looks for a chain while none covers the model
+constexpr double PROGRESS_FACTOR = 10;      // silence beyond so many usual token intervals is a failure
 constexpr milliseconds PROGRESS_FLOOR{300}; // but never before this
-constexpr double INTERVAL_SMOOTHING = 0.2; // weight of a new token interval
+constexpr double INTERVAL_SMOOTHING = 0.2;  // weight of a new token interval
 constexpr milliseconds NO_CHAIN_RETRY_AFTER{1000};
 
 double sinceMs(steady_time start, steady_time now)
@@ -36,25 +36,26 @@
 // State of a request
 //-----------------------------------------------------------------------------
 
-struct pipeline_driver::run {
+struct pipeline_driver::run
+{
     std::shared_ptr<http_call> call; // the caller
-    account_settings account; // as of admission
+    account_settings account;        // as of admission
     chat_request request;
     request_id id;
     std::unique_ptr<pipeline_session> session; // delivered tokens
-    pipeline_chain chain; // of the current attempt
-    transfer_id transfer = 0; // of the current attempt, 0 = none
-    std::set<server_id> avoid; // servers that failed this request
-    int retries = 0; // attempts after the first
-    bool dispatched = false; // any attempt reached an engine
-    bool headSent = false; // streaming has begun
-    bool closed = false; // the caller has its last byte
+    pipeline_chain chain;                      // of the current attempt
+    transfer_id transfer = 0;                  // of the current attempt, 0 = none
+    std::set<server_id> avoid;                 // servers that failed this request
+    int retries = 0;                           // attempts after the first
+    bool dispatched = false;                   // any attempt reached an engine
+    bool headSent = false;                     // streaming has begun
+    bool closed = false;                       // the caller has its last byte
     steady_time started;
     steady_time deadline;
-    steady_time attemptAt; // start of the current attempt
+    steady_time attemptAt;  // start of the current attempt
     steady_time progressAt; // last token of the current attempt, or its start
-    bool anyToken = false; // in the current attempt
-    double intervalMs = 0; // smoothed time between tokens
+    bool anyToken = false;  // in the current attempt
+    double intervalMs = 0;  // smoothed time between tokens
     timer_id progressTimer = 0;
     timer_id waitTimer = 0;
 };
@@ -109,7 +110,8 @@
         const std::lock_guard lock(m_shared.budgetMutex);
         m_shared.budget.recordFirstAttempt();
     }
-    m_shared.decisions.record(self->id, decision_reason::admitted, "account=" + self->account.id.text + " model=" + self->request.modelName.text + "@" + version);
+    m_shared.decisions.record(self->id, decision_reason::admitted,
+                              "account=" + self->account.id.text + " model=" + self->request.modelName.text + "@" + version);
     beginAttempt(self);
 }
 
@@ -147,7 +149,9 @@
     });
     m_shared.counters.count("chestnutgw_attempts_total");
     if (attempt.value > 1) {
-        m_shared.decisions.record(self->id, decision_reason::resumed, "attempt=" + std::to_string(attempt.value) + " tokens=" + std::to_string(self->session->tokens().size()) + " chain=" + describe(*chain));
+        m_shared.decisions.record(self->id, decision_reason::resumed,
+                                  "attempt=" + std::to_string(attempt.value) + " tokens=" + std::to_string(self->session->tokens().size())
+                                      + " chain=" + describe(*chain));
     }
     generate_request wanted;
     wanted.request = self->id;
@@ -159,9 +163,11 @@
     wanted.tokens = self->session->tokens();
     wanted.maxTokens = self->request.maxTokens;
     self->dispatched = true;
-    self->transfer = m_engines->generate(wanted, {[this, self](const token_event &event, const std::vector<stage_timing> &timings) { handleToken(self, event, timings); },
-                                                  [this, self](attempt_number ended, int tokens, const std::string &reason) { handleDone(self, ended, tokens, reason); },
-                                                  [this, self, attempt](const engine_failure &failure) { handleFailure(self, attempt, failure); }});
+    self->transfer
+        = m_engines->generate(wanted,
+                              {[this, self](const token_event &event, const std::vector<stage_timing> &timings) { handleToken(self, event, timings); },
+                               [this, self](attempt_number ended, int tokens, const std::string &reason) { handleDone(self, ended, tokens, reason); },
+                               [this, self, attempt](const engine_failure &failure) { handleFailure(self, attempt, failure); }});
     watchProgress(self);
 }
 
@@ -340,7 +346,8 @@
     }
     if (!self->session->complete(attempt, tokens, reason)) {
         if (attempt == self->session->attempt()) {
-            retry(self, decision_reason::token_rejected, self->chain.stages.front().server, "end after " + std::to_string(tokens) + " tokens does not fit", true);
+            retry(self, decision_reason::token_rejected, self->chain.stages.front().server, "end after " + std::to_string(tokens) + " tokens does not fit",
+                  true);
         }
         return;
     }
@@ -383,7 +390,8 @@
         response.body = formatWhole(self->id, self->request.model, self->session->tokens(), reason, words);
         self->call->respond(std::move(response));
     }
-    m_shared.decisions.record(self->id, decision_reason::completed, "tokens=" + std::to_string(self->session->tokens().size()) + " attempts=" + std::to_string(self->session->attempt().value));
+    m_shared.decisions.record(self->id, decision_reason::completed,
+                              "tokens=" + std::to_string(self->session->tokens().size()) + " attempts=" + std::to_string(self->session->attempt().value));
     m_shared.counters.count("chestnutgw_completed_total", {{"account", self->account.id.text}});
     m_shared.counters.observe("chestnutgw_request_seconds", toSeconds(std::chrono::steady_clock::now() - self->started), {{"account", self->account.id.text}});
     close(self);
--- a/src/entry/service_driver.cpp
+++ b/src/entry/service_driver.cpp
@@ -14,9 +14,9 @@
 
 constexpr milliseconds CONNECT_TIMEOUT{500};
 constexpr milliseconds DEFAULT_DEADLINE{10'000}; // for services without one
-constexpr milliseconds AVOID_TIME{1000}; // a replica that failed gets no call for so long, if there is another
-constexpr int MAX_SENDS = 6; // tries of one call
-constexpr std::size_t MAX_KEY_BYTES = 200; // of an idempotency key
+constexpr milliseconds AVOID_TIME{1000};         // a replica that failed gets no call for so long, if there is another
+constexpr int MAX_SENDS = 6;                     // tries of one call
+constexpr std::size_t MAX_KEY_BYTES = 200;       // of an idempotency key
 constexpr milliseconds LOG_RETRY_AFTER{2000};
 constexpr milliseconds BUSY_RETRY_AFTER{1000};
 
@@ -31,18 +31,19 @@
 // State of a call
 //-----------------------------------------------------------------------------
 
-struct service_driver::run {
+struct service_driver::run
+{
     std::shared_ptr<http_call> call;
     account_settings account;
     service_settings service;
     std::string path; // at the replica, with a leading slash
     request_id id;
-    std::string key; // idempotency key, empty = none
-    bool mayRepeat = false; // a send whose effect is unknown may be sent again
+    std::string key;         // idempotency key, empty = none
+    bool mayRepeat = false;  // a send whose effect is unknown may be sent again
     claim_ticket ticket = 0; // dispatched claim, 0 = none needed
     steady_time started;
     steady_time deadline;
-    steady_time sendBefore; // claims: last moment for the first send
+    steady_time sendBefore;      // claims: last moment for the first send
     std::set<std::string> tried; // replica addresses
     int sends = 0;
     bool closed = false;
@@ -87,12 +88,14 @@
 void service_driver::claimThenSend(const run_pointer &self)
 {
     if (self->key.empty() || self->key.size() > MAX_KEY_BYTES) {
-        refuse(self, 400, decision_reason::refused_account_unknown, "calls to this service need a header Idempotency-Key of 1 to " + std::to_string(MAX_KEY_BYTES) + " bytes", verdict::not_run, {});
+        refuse(self, 400, decision_reason::refused_account_unknown,
+               "calls to this service need a header Idempotency-Key of 1 to " + std::to_string(MAX_KEY_BYTES) + " bytes", verdict::not_run, {});
         return;
     }
     const std::string key = self->account.id.text + "/" + self->service.id.text + "/" + self->key;
     const std::string fingerprint = std::to_string(hashBytes(self->call->method() + " " + self->path + "\n" + self->call->body()));
-    m_claims.claim(key, fingerprint, self->deadline, [this, self](const claim_decision &decision) { m_loop.post([this, self, decision] { decided(self, decision); }); });
+    m_claims.claim(key, fingerprint, self->deadline,
+                   [this, self](const claim_decision &decision) { m_loop.post([this, self, decision] { decided(self, decision); }); });
 }
 
 void service_driver::decided(const run_pointer &self, const claim_decision &decision)
@@ -115,7 +118,8 @@
         refuse(self, 422, decision_reason::claim_mismatch, "this Idempotency-Key was used for another request", verdict::not_run, {});
         return;
     case claim_decision::kind::refused:
-        refuse(self, 503, decision_reason::refused_log_down, "the log cannot be reached, so this call cannot be protected from running twice", verdict::not_run, LOG_RETRY_AFTER);
+        refuse(self, 503, decision_reason::refused_log_down, "the log cannot be reached, so this call cannot be protected from running twice", verdict::not_run,
+               LOG_RETRY_AFTER);
         return;
     case claim_decision::kind::expired:
         refuse(self, 503, decision_reason::claim_expired, "the claim was not settled in time", verdict::not_run, LOG_RETRY_AFTER);
@@ -199,7 +203,8 @@
     }
     ++health.failures;
     health.avoidUntil = std::chrono::steady_clock::now() + AVOID_TIME;
-    m_shared.decisions.record(self->id, decision_reason::dispatch_failed, "replica=" + replica.name + " " + (result.error.empty() ? "HTTP status " + std::to_string(result.status) : result.error));
+    m_shared.decisions.record(self->id, decision_reason::dispatch_failed,
+                              "replica=" + replica.name + " " + (result.error.empty() ? "HTTP status " + std::to_string(result.status) : result.error));
     if (!notRun && !self->mayRepeat) {
         settle(self, verdict::may_have_run, 504, {}, "the service did not answer; the call may have run");
         return;
@@ -247,7 +252,8 @@
     response.headers = {{"Chestnutgw-Verdict", std::string(toText(ran))}, {"Chestnutgw-Request-Id", self->id.text}};
     self->call->respond(std::move(response));
     m_shared.decisions.record(self->id, decision_reason::completed, "status=" + std::to_string(status));
-    m_shared.counters.observe("chestnutgw_service_seconds", toSeconds(std::chrono::steady_clock::now() - self->started), {{"account", self->account.id.text}, {"service", self->service.id.text}});
+    m_shared.counters.observe("chestnutgw_service_seconds", toSeconds(std::chrono::steady_clock::now() - self->started),
+                              {{"account", self->account.id.text}, {"service", self->service.id.text}});
     close(self);
 }
 
--- a/src/entry/service_driver.h
+++ b/src/entry/service_driver.h
@@ -32,7 +32,8 @@
     void refuse(const run_pointer &self, int status, decision_reason reason, const std::string &message, verdict ran, milliseconds retryAfter);
     void close(const run_pointer &self);
 
-    struct replica_health {
+    struct replica_health
+    {
         int failures = 0; // consecutive
         steady_time avoidUntil;
         int inFlight = 0;
--- a/src/entry/shared_state.cpp
+++ b/src/entry/shared_state.cpp
@@ -9,8 +9,8 @@
 {
 
 constexpr std::size_t REMEMBERED_REQUESTS = 2000; // for each shard of the decision log
-constexpr std::size_t REMEMBERED_DECISIONS = 64; // for each request
-constexpr double RETRY_RESERVE = 50; // retries possible at once after a calm time
+constexpr std::size_t REMEMBERED_DECISIONS = 64;  // for each request
+constexpr double RETRY_RESERVE = 50;              // retries possible at once after a calm time
 
 }
 
--- a/src/entry/shared_state.h
+++ b/src/entry/shared_state.h
@@ -14,7 +14,8 @@
 {
 
 // One decision about a request, as `chestnutctl explain` shows it.
-struct decision_entry {
+struct decision_entry
+{
     std::int64_t timeMs = 0; // since the epoch
     decision_reason reason = decision_reason::admitted;
     std::string detail; // servers, codes, offsets
@@ -32,7 +33,8 @@
     std::vector<decision_entry> find(const request_id &request);
 
 private:
-    struct shard_state {
+    struct shard_state
+    {
         std::unordered_map<std::string, std::vector<decision_entry>> byRequest;
         std::deque<std::string> order; // for forgetting
     };
@@ -51,7 +53,7 @@
     {
     }
     // Calls use(fleet &) with the lock held.
-    template<typename callable>
+    template <typename callable>
     auto with(callable use)
     {
         const std::lock_guard lock(m_mutex);
@@ -71,7 +73,8 @@
 };
 
 // What the parts of one entry process share.
-struct entry_shared {
+struct entry_shared
+{
     explicit entry_shared(const entry_settings &given);
 
     entry_settings settings;
@@ -79,8 +82,8 @@
     decision_log decisions;
     shared_fleet servers;
     std::atomic<std::shared_ptr<const deployment>> current; // configuration in force
-    std::atomic<bool> leaving = false; // shuts down: no new work
-    std::atomic<int> inFlight = 0; // requests being answered
+    std::atomic<bool> leaving = false;                      // shuts down: no new work
+    std::atomic<int> inFlight = 0;                          // requests being answered
     std::atomic<std::uint64_t> nextRequest = 1;
     std::mutex budgetMutex; // guards budget
     retry_budget budget;
--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -25,26 +25,28 @@
 namespace
 {
 
-constexpr int MAX_EVENTS = 256; // epoll events taken at once
-constexpr long MAX_IDLE_CONNECTIONS = 512; // kept-alive connections of one loop
+constexpr int MAX_EVENTS = 256;              // epoll events taken at once
+constexpr long MAX_IDLE_CONNECTIONS = 512;   // kept-alive connections of one loop
 constexpr long IDLE_CONNECTION_SECONDS = 20; // a kept-alive connection idle for longer is not reused
 
-struct curl_global {
+struct curl_global
+{
     curl_global()
     {
         curl_global_init(CURL_GLOBAL_DEFAULT);
     }
 };
 
-struct transfer {
-    transfer_id id = 0; // key in the table
-    CURL *easy = nullptr; // owned
+struct transfer
+{
+    transfer_id id = 0;            // key in the table
+    CURL *easy = nullptr;          // owned
     curl_slist *headers = nullptr; // owned
-    http_request request; // kept alive for the body
-    transfer_handler handler; // the caller's callbacks
-    http_result result; // being filled
-    steady_time lastByte; // time of the last received byte
-    timer_id idleTimer = 0; // watches request.idleTimeout
+    http_request request;          // kept alive for the body
+    transfer_handler handler;      // the caller's callbacks
+    http_result result;            // being filled
+    steady_time lastByte;          // time of the last received byte
+    timer_id idleTimer = 0;        // watches request.idleTimeout
 
     ~transfer()
     {
@@ -112,7 +114,7 @@
     ~implementation();
 
     void post(std::function<void()> task);
-    timer_id after(milliseconds delay, std::function<void()> task);
+    timer_id after(microseconds delay, std::function<void()> task);
     void cancel(timer_id timer);
     transfer_id start(http_request request, transfer_handler handler);
     void abort(transfer_id id);
@@ -123,7 +125,7 @@
     static int onSocket(CURL *easy, curl_socket_t socket, int what, void *user, void *known);
     static int onTimeout(CURLM *multi, long timeoutMs, void *user);
     void loop();
-    int waitMilliseconds() const;
+    timespec waitTime() const;
     void runTasks();
     void runTimers();
     void collectFinished();
@@ -170,7 +172,7 @@
 event_loop::implementation::~implementation()
 {
     m_stopping = true;
-    post([] { });
+    post([] {});
     m_thread.join();
     for (auto &[id, one] : m_transfers) {
         curl_multi_remove_handle(m_multi, one->easy);
@@ -360,7 +362,7 @@
     [[maybe_unused]] const ssize_t written = ::write(m_wakeup.get(), &one, sizeof one);
 }
 
-timer_id event_loop::implementation::after(milliseconds delay, std::function<void()> task)
+timer_id event_loop::implementation::after(microseconds delay, std::function<void()> task)
 {
     const timer_id id = m_nextId++;
     const steady_time due = std::chrono::steady_clock::now() + delay;
@@ -408,14 +410,15 @@
     }
 }
 
-int event_loop::implementation::waitMilliseconds() const
+timespec event_loop::implementation::waitTime() const
 {
-    constexpr int LONGEST_WAIT_MS = 1000;
-    if (m_timers.empty()) {
-        return LONGEST_WAIT_MS;
+    constexpr microseconds LONGEST_WAIT{1'000'000};
+    microseconds wait = LONGEST_WAIT;
+    if (!m_timers.empty()) {
+        const auto left = std::chrono::ceil<microseconds>(m_timers.begin()->first - std::chrono::steady_clock::now());
+        wait = std::clamp(left, microseconds(0), LONGEST_WAIT);
     }
-    const auto left = std::chrono::ceil<milliseconds>(m_timers.begin()->first - std::chrono::steady_clock::now());
-    return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, LONGEST_WAIT_MS));
+    return {wait.count() / 1'000'000, wait.count() % 1'000'000 * 1000};
 }
 
 void event_loop::implementation::loop()
@@ -423,7 +426,8 @@
     std::array<epoll_event, MAX_EVENTS> events{};
     int running = 0;
     while (!m_stopping) {
-        const int count = epoll_wait(m_epoll.get(), events.data(), MAX_EVENTS, waitMilliseconds());
+        const timespec wait = waitTime();
+        const int count = epoll_pwait2(m_epoll.get(), events.data(), MAX_EVENTS, &wait, nullptr);
         for (int i = 0; i < count; ++i) {
             const epoll_event &event = events[static_cast<std::size_t>(i)];
             if (event.data.fd == m_wakeup.get()) {
@@ -473,7 +477,7 @@
     done.get_future().wait();
 }
 
-timer_id event_loop::after(milliseconds delay, std::function<void()> task)
+timer_id event_loop::after(microseconds delay, std::function<void()> task)
 {
     return m_impl->after(delay, std::move(task));
 }
--- a/src/kernel/event_loop.h
+++ b/src/kernel/event_loop.h
@@ -13,27 +13,29 @@
 {
 
 // One outgoing HTTP request.
-struct http_request {
-    std::string method = "GET"; // GET, POST, PUT or DELETE
-    std::string url; // http://IP:port/path
-    std::string body; // sent with POST and PUT
-    std::vector<std::string> headers; // "Name: value"
+struct http_request
+{
+    std::string method = "GET";        // GET, POST, PUT or DELETE
+    std::string url;                   // http://IP:port/path
+    std::string body;                  // sent with POST and PUT
+    std::vector<std::string> headers;  // "Name: value"
     milliseconds connectTimeout{1000}; // until the connection stands
-    milliseconds totalTimeout{0}; // for the whole exchange, 0 = none
-    milliseconds idleTimeout{0}; // longest time without a received byte, 0 = none
-    bool singleUse = false; // fresh connection, closed afterwards: libcurl silently repeats a request on a reused connection that turns out dead
+    milliseconds totalTimeout{0};      // for the whole exchange, 0 = none
+    milliseconds idleTimeout{0};       // longest time without a received byte, 0 = none
+    bool singleUse = false;            // fresh connection, closed afterwards: libcurl silently repeats a request on a reused connection that turns out dead
 };
 
 // How an outgoing request ended.
-struct http_result {
-    int status = 0; // HTTP status, 0 = no answer
-    bool connected = false; // the connection stood, so request bytes may have left
-    bool timedOut = false; // a timeout of the request ended it
-    std::string error; // cause if the exchange did not complete, else empty
-    std::string body; // received body, empty if onData took it
+struct http_result
+{
+    int status = 0;             // HTTP status, 0 = no answer
+    bool connected = false;     // the connection stood, so request bytes may have left
+    bool timedOut = false;      // a timeout of the request ended it
+    std::string error;          // cause if the exchange did not complete, else empty
+    std::string body;           // received body, empty if onData took it
     milliseconds retryAfter{0}; // from the header Retry-After
-    std::string verdictHeader; // from the header Chestnutgw-Verdict
-    std::string contentType; // from the header Content-Type
+    std::string verdictHeader;  // from the header Chestnutgw-Verdict
+    std::string contentType;    // from the header Content-Type
 
     bool completed() const
     {
@@ -46,13 +48,14 @@
 };
 
 // Callbacks of one transfer, called on the loop's thread.
-struct transfer_handler {
+struct transfer_handler
+{
     std::function<void(int status, std::string_view data)> onData; // optional: takes the body piece by piece if the status is 2xx
-    std::function<void(http_result)> onDone; // called once, unless aborted
+    std::function<void(http_result)> onDone;                       // called once, unless aborted
 };
 
 using transfer_id = std::uint64_t; // 0 = none
-using timer_id = std::uint64_t; // 0 = none
+using timer_id = std::uint64_t;    // 0 = none
 
 // A thread that runs posted functions, timers and HTTP transfers (libcurl's multi socket interface over epoll).
 class event_loop
@@ -70,7 +73,7 @@
     // Runs a function on the loop's thread and waits for it. Any other thread.
     void run(const std::function<void()> &task);
     // Runs a function after a delay. Loop thread only.
-    timer_id after(milliseconds delay, std::function<void()> task);
+    timer_id after(microseconds delay, std::function<void()> task);
     void cancel(timer_id timer);
     // Starts a transfer. Loop thread only.
     transfer_id start(http_request request, transfer_handler handler);
--- a/src/kernel/hash.cpp
+++ b/src/kernel/hash.cpp
@@ -37,7 +37,8 @@
 std::string encodeBase64(std::string_view bytes)
 {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()),
+                                       static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(length));
     return text;
 }
@@ -48,7 +49,8 @@
         throw std::invalid_argument("not Base64: the length is no multiple of 4");
     }
     std::string bytes(text.size() / 4 * 3 + 1, '\0');
-    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
+    const int length
+        = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
     if (length < 0) {
         throw std::invalid_argument("not Base64: a character outside the alphabet");
     }
--- a/src/kernel/http_server.cpp
+++ b/src/kernel/http_server.cpp
@@ -178,8 +178,11 @@
         } else {
             auto *holder = new std::shared_ptr<mhd_call>(self);
             response = MHD_create_response_from_callback(
-                MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, [](void *user, std::uint64_t, char *out, std::size_t space) { return (*static_cast<std::shared_ptr<mhd_call> *>(user))->readStream(out, space); }, holder,
-                [](void *user) { delete static_cast<std::shared_ptr<mhd_call> *>(user); });
+                MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
+                [](void *user, std::uint64_t, char *out, std::size_t space) {
+                    return (*static_cast<std::shared_ptr<mhd_call> *>(user))->readStream(out, space);
+                },
+                holder, [](void *user) { delete static_cast<std::shared_ptr<mhd_call> *>(user); });
         }
         MHD_add_response_header(response, "Content-Type", m_head.contentType.c_str());
         for (const auto &[name, value] : m_head.headers) {
@@ -270,9 +273,11 @@
             throw std::runtime_error("not an IP number: " + options.address);
         }
         unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG | MHD_USE_ITC;
-        m_daemon = MHD_start_daemon(flags, options.port, nullptr, nullptr, &implementation::onRequest, this, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE, options.threads > 1 ? options.threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
-                                    options.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT, 0U, MHD_OPTION_NOTIFY_COMPLETED, &implementation::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &implementation::onConnection, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_EXTERNAL_LOGGER,
-                                    &implementation::onLog, nullptr, MHD_OPTION_END);
+        m_daemon = MHD_start_daemon(flags, options.port, nullptr, nullptr, &implementation::onRequest, this, MHD_OPTION_SOCK_ADDR, &address,
+                                    MHD_OPTION_THREAD_POOL_SIZE, options.threads > 1 ? options.threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
+                                    options.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT, 0U, MHD_OPTION_NOTIFY_COMPLETED, &implementation::onCompleted, this,
+                                    MHD_OPTION_NOTIFY_CONNECTION, &implementation::onConnection, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+                                    MHD_OPTION_EXTERNAL_LOGGER, &implementation::onLog, nullptr, MHD_OPTION_END);
         if (m_daemon == nullptr) {
             throw std::runtime_error("cannot listen on " + options.address + ":" + std::to_string(options.port));
         }
@@ -305,7 +310,8 @@
     static void onLog(void *, const char *, va_list)
     {
     }
-    static MHD_Result onRequest(void *user, MHD_Connection *connection, const char *path, const char *method, const char *, const char *data, std::size_t *size, void **state)
+    static MHD_Result onRequest(void *user, MHD_Connection *connection, const char *path, const char *method, const char *, const char *data, std::size_t *size,
+                                void **state)
     {
         auto *self = static_cast<implementation *>(user);
         if (*state == nullptr) {
@@ -334,7 +340,8 @@
     void handOver(const call_holder &call)
     {
         if (call->tooLarge()) {
-            call->respond(errorResponse(413, "body_too_large", "the request body is larger than " + std::to_string(m_options.maxBodyBytes) + " bytes", verdict::not_run));
+            call->respond(
+                errorResponse(413, "body_too_large", "the request body is larger than " + std::to_string(m_options.maxBodyBytes) + " bytes", verdict::not_run));
             return;
         }
         try {
@@ -371,7 +378,7 @@
     MHD_Daemon *m_daemon = nullptr;
     std::atomic<std::uint64_t> m_connections = 0;
     mutable std::mutex m_mutex; // guards m_open
-    bool m_stopping = false; // guarded by m_mutex
+    bool m_stopping = false;    // guarded by m_mutex
     std::unordered_set<call_holder> m_open;
 };
 
--- a/src/kernel/http_server.h
+++ b/src/kernel/http_server.h
@@ -15,10 +15,11 @@
 {
 
 // A whole answer to a caller.
-struct http_response {
-    int status = 200; // HTTP status
-    std::string body; // sent as it is
-    std::string contentType = "application/json"; // header Content-Type
+struct http_response
+{
+    int status = 200;                                         // HTTP status
+    std::string body;                                         // sent as it is
+    std::string contentType = "application/json";             // header Content-Type
     std::vector<std::pair<std::string, std::string>> headers; // further headers
 };
 
@@ -52,12 +53,13 @@
 
 using http_handler = std::function<void(std::shared_ptr<http_call>)>;
 
-struct http_server_options {
-    std::string address = "127.0.0.1"; // IP number to listen on
-    std::uint16_t port = 0; // 0 = chosen by the system
-    unsigned threads = 1; // threads that move bytes; no thread waits for an answer
+struct http_server_options
+{
+    std::string address = "127.0.0.1";  // IP number to listen on
+    std::uint16_t port = 0;             // 0 = chosen by the system
+    unsigned threads = 1;               // threads that move bytes; no thread waits for an answer
     std::size_t maxBodyBytes = 1 << 20; // a larger request body is refused with 413
-    unsigned maxConnections = 4096; // further connections are refused
+    unsigned maxConnections = 4096;     // further connections are refused
 };
 
 // HTTP/1.1 server over libmicrohttpd with suspended connections.
--- a/src/kernel/ids.h
+++ b/src/kernel/ids.h
@@ -17,8 +17,9 @@
 using steady_time = std::chrono::steady_clock::time_point;
 
 // Name of one kind of object. Two kinds never convert into each other.
-template<typename tag>
-struct strong_id {
+template <typename tag>
+struct strong_id
+{
     std::string text; // as written in the sheet or the settings
 
     auto operator<=>(const strong_id &) const = default;
@@ -30,23 +31,25 @@
 
 using account_id = strong_id<struct account_tag>; // client account
 using model_id = strong_id<struct model_tag>;
-using server_id = strong_id<struct server_tag>; // backend server
-using service_id = strong_id<struct service_tag>; // plain service
+using server_id = strong_id<struct server_tag>;     // backend server
+using service_id = strong_id<struct service_tag>;   // plain service
 using instance_id = strong_id<struct instance_tag>; // instance of chestnutgw
-using domain_id = strong_id<struct domain_tag>; // failure domain
+using domain_id = strong_id<struct domain_tag>;     // failure domain
 using request_id = strong_id<struct request_tag>;
 
 // Position of a record in one stream of the platform's log. The first record has offset 1.
-struct log_offset {
+struct log_offset
+{
     std::uint64_t value = 0; // 0 means: before the first record
 
     auto operator<=>(const log_offset &) const = default;
 };
 
 // Half-open range of model layers.
-struct layer_range {
+struct layer_range
+{
     int first = 0; // first layer held
-    int last = 0; // one past the last layer held
+    int last = 0;  // one past the last layer held
 
     auto operator<=>(const layer_range &) const = default;
     int count() const
@@ -56,7 +59,8 @@
 };
 
 // Number of one try at a request; rises with every new chain or dispatch.
-struct attempt_number {
+struct attempt_number
+{
     int value = 0;
 
     auto operator<=>(const attempt_number &) const = default;
@@ -76,8 +80,9 @@
 
 }
 
-template<typename tag>
-struct std::hash<chestnut::strong_id<tag>> {
+template <typename tag>
+struct std::hash<chestnut::strong_id<tag>>
+{
     std::size_t operator()(const chestnut::strong_id<tag> &id) const noexcept
     {
         return std::hash<std::string>()(id.text);
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -18,11 +18,12 @@
 namespace
 {
 
-struct log_state {
-    std::mutex mutex; // guards all members
+struct log_state
+{
+    std::mutex mutex;                   // guards all members
     std::string program = "chestnutgw"; // written in each line
-    bool json = false; // JSON lines in place of key=value
-    log_level level = log_level::info; // lower levels are dropped
+    bool json = false;                  // JSON lines in place of key=value
+    log_level level = log_level::info;  // lower levels are dropped
 };
 
 log_state &state()
@@ -83,7 +84,8 @@
     state().program = program;
     state().json = format == "json";
     state().level = level;
-    boost::log::add_console_log(std::clog, boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage, boost::log::keywords::auto_flush = true);
+    boost::log::add_console_log(std::clog, boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
+                                boost::log::keywords::auto_flush = true);
 }
 
 void setLogLevel(log_level level)
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -8,7 +8,13 @@
 namespace chestnut
 {
 
-enum class log_level { debug, info, warning, error };
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error
+};
 
 // Parses debug, info, warning or error. Throws std::invalid_argument otherwise.
 log_level parseLogLevel(std::string_view text);
--- a/src/kernel/metrics.cpp
+++ b/src/kernel/metrics.cpp
@@ -21,7 +21,7 @@
 {
 public:
     // Returns the family of this name, made at first use.
-    template<typename builder, typename family>
+    template <typename builder, typename family>
     family &familyOf(std::map<std::string, family *> &known, builder build, const std::string &name)
     {
         family *&found = known[name];
--- a/src/kernel/registry.h
+++ b/src/kernel/registry.h
@@ -11,7 +11,7 @@
 
 // Factories of one plug-in interface by name. A plug-in registers itself with a file-local
 // `const plugin_registrar<interface, arguments...> REGISTRAR("name", factory);`.
-template<typename interface, typename... arguments>
+template <typename interface, typename... arguments>
 class plugin_registry
 {
 public:
@@ -46,8 +46,9 @@
     std::map<std::string, factory> m_factories;
 };
 
-template<typename interface, typename... arguments>
-struct plugin_registrar {
+template <typename interface, typename... arguments>
+struct plugin_registrar
+{
     plugin_registrar(const std::string &name, typename plugin_registry<interface, arguments...>::factory make)
     {
         plugin_registry<interface, arguments...>::instance().add(name, std::move(make));
--- a/src/kernel/scope.h
+++ b/src/kernel/scope.h
@@ -7,7 +7,7 @@
 {
 
 // Runs a function when the scope ends, unless dismissed.
-template<typename callable>
+template <typename callable>
 class scope_guard
 {
 public:
--- a/src/kernel/settings.cpp
+++ b/src/kernel/settings.cpp
@@ -14,10 +14,11 @@
 namespace
 {
 
-struct ini_state {
-    std::ifstream file; // being read
-    std::string name; // for messages
-    int line = 0; // last line read
+struct ini_state
+{
+    std::ifstream file;              // being read
+    std::string name;                // for messages
+    int line = 0;                    // last line read
     std::vector<setting_text> found; // result
 };
 
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -12,11 +12,12 @@
 {
 
 // One key = value of an INI file or of a --set option.
-struct setting_text {
+struct setting_text
+{
     std::string source; // file name, or "--set"
-    int line = 0; // line in the file, 0 = from the command line
-    std::string key; // section.key
-    std::string value; // as written
+    int line = 0;       // line in the file, 0 = from the command line
+    std::string key;    // section.key
+    std::string value;  // as written
 };
 
 // A wrong setting: what() is "FILE:LINE: key: problem (allowed: ...)".
@@ -30,12 +31,13 @@
 std::vector<setting_text> readSettings(const std::string &file);
 
 // One row of a settings table: where a key goes and what it may be.
-template<typename settings>
-struct setting_row {
-    const char *key; // section.key
+template <typename settings>
+struct setting_row
+{
+    const char *key;                                                                                                               // section.key
     std::variant<int settings::*, double settings::*, bool settings::*, std::string settings::*, milliseconds settings::*> member; // target
-    double lowest; // least allowed number, or least length of a text
-    double highest; // greatest allowed number, or greatest length of a text
+    double lowest;    // least allowed number, or least length of a text
+    double highest;   // greatest allowed number, or greatest length of a text
     const char *unit; // ms, bytes, IP:port, ...
     const char *help; // one line
 };
@@ -47,7 +49,7 @@
 [[noreturn]] void throwSettingsError(const setting_text &text, const std::string &problem);
 
 // Stores one key = value in the aggregate. Throws settings_error.
-template<typename settings, std::size_t count>
+template <typename settings, std::size_t count>
 void applySetting(settings &target, const setting_row<settings> (&table)[count], const setting_text &text)
 {
     for (const setting_row<settings> &row : table) {
@@ -83,7 +85,7 @@
 }
 
 // Lists the keys with unit, default, range and meaning, for --help.
-template<typename settings, std::size_t count>
+template <typename settings, std::size_t count>
 std::string describeSettings(const setting_row<settings> (&table)[count])
 {
     const settings defaults;
@@ -110,23 +112,24 @@
 }
 
 // What every program's command line has in common.
-struct program_options {
+struct program_options
+{
     std::vector<setting_text> settings; // from --config and then --set
-    bool checkOnly = false; // --check-config
-    bool exitNow = false; // --help or --version was printed
+    bool checkOnly = false;             // --check-config
+    bool exitNow = false;               // --help or --version was printed
 };
 
 // Parses --config, --set, --check-config, --help and --version (cxxopts). Throws settings_error on a bad command line.
 program_options parseProgramOptions(int argc, char **argv, const std::string &program, const std::string &purpose, const std::string &settingsHelp);
 
 // Runs a program's start: parses, applies the table, then calls body(settings). Returns the exit status; 2 for a wrong setting.
-template<typename settings, std::size_t count, typename callable>
+template <typename settings, std::size_t count, typename callable>
 int runProgram(int argc, char **argv, const std::string &program, const std::string &purpose, const setting_row<settings> (&table)[count], callable body);
 
 void printError(const std::string &text);
 void printLine(const std::string &text);
 
-template<typename settings, std::size_t count, typename callable>
+template <typename settings, std::size_t count, typename callable>
 int runProgram(int argc, char **argv, const std::string &program, const std::string &purpose, const setting_row<settings> (&table)[count], callable body)
 {
     try {
--- a/src/kernel/sharded.h
+++ b/src/kernel/sharded.h
@@ -9,12 +9,12 @@
 {
 
 // State split over shards, each under its own lock. A key always meets the same shard.
-template<typename state, std::size_t count = 16>
+template <typename state, std::size_t count = 16>
 class sharded
 {
 public:
     // Calls use(state &) with the shard of key locked and returns its result.
-    template<typename key_type, typename callable>
+    template <typename key_type, typename callable>
     auto with(const key_type &key, callable use)
     {
         shard &chosen = m_shards[std::hash<key_type>()(key) % count];
@@ -23,7 +23,7 @@
     }
 
     // Calls use(state &) for each shard in turn, one lock at a time.
-    template<typename callable>
+    template <typename callable>
     void each(callable use)
     {
         for (shard &one : m_shards) {
@@ -33,7 +33,8 @@
     }
 
 private:
-    struct shard {
+    struct shard
+    {
         std::mutex mutex;
         state value;
     };
--- a/src/kernel/verdict.h
+++ b/src/kernel/verdict.h
@@ -6,9 +6,10 @@
 {
 
 // Whether a request may have taken effect at a backend server.
-enum class verdict {
-    not_run, // certain: no byte of the request reached a backend server, or the server said so
-    ran, // certain: the backend server answered
+enum class verdict
+{
+    not_run,      // certain: no byte of the request reached a backend server, or the server said so
+    ran,          // certain: the backend server answered
     may_have_run, // bytes may have left our socket and no answer settled the matter
 };
 
--- /dev/null
+++ b/src/load/bound.cpp
@@ -0,0 +1,23 @@
+#include "load/bound.h"
+
+#include <algorithm>
+
+namespace chestnut
+{
+
+goodput_bound bestGoodput(std::vector<offered_request> requests, const std::map<std::string, double> &capacityTokens)
+{
+    std::stable_sort(requests.begin(), requests.end(), [](const offered_request &left, const offered_request &right) { return left.worth * right.tokens > right.worth * left.tokens; });
+    std::map<std::string, double> left = capacityTokens;
+    goodput_bound bound;
+    for (const offered_request &one : requests) {
+        double &free = left[one.model];
+        const double share = one.tokens <= 0 ? 1 : std::clamp(free / one.tokens, 0.0, 1.0);
+        free -= share * one.tokens;
+        bound.worth += share * one.worth;
+        bound.worthByAccount[one.account] += share * one.worth;
+    }
+    return bound;
+}
+
+}
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,3 +1,86 @@
-int main()
+// chestnutgw-load: load and experiment tool. Commands: run (default), report, oracle.
+
+#include "caller/chat_api.h"
+#include "load/report.h"
+#include "standin/oracle.h"
+
+#include <fstream>
+
+namespace
 {
+
+using namespace chestnut;
+
+void writeFile(const std::string &name, const std::string &content)
+{
+    std::ofstream file(name);
+    file << content;
+    if (!file) {
+        throw std::runtime_error("cannot write '" + name + "'");
+    }
+}
+
+int run(const load_settings &settings)
+{
+    const run_result result = runLoad(settings);
+    const nlohmann::json summary = summarise(settings, result);
+    printLine(formatSummary(summary));
+    if (!settings.csv.empty()) {
+        writeFile(settings.csv, formatCsv(result));
+    }
+    if (!settings.json.empty()) {
+        writeFile(settings.json, summary.dump() + "\n");
+    }
+    return 0;
+}
+
+// oracle MODEL VERSION LAYERS MAX_TOKENS PROMPT: the text that engine stand-ins must answer to a user's message.
+int oracle(const std::vector<std::string> &words)
+{
+    if (words.size() != 5) {
+        printError("usage: chestnutgw-load oracle MODEL VERSION LAYERS MAX_TOKENS PROMPT");
+        return 2;
+    }
+    printLine(oracleAnswer(words[0], words[1], std::stoi(words[2]), joinMessage("user", words[4]), std::stoi(words[3])).text());
+    return 0;
+}
+
+// report OUT.html SUMMARY.json...: one page over the summaries of runs.
+int report(const std::vector<std::string> &files)
+{
+    if (files.size() < 2) {
+        printError("usage: chestnutgw-load report OUT.html SUMMARY.json...");
+        return 2;
+    }
+    std::vector<nlohmann::json> summaries;
+    for (std::size_t i = 1; i < files.size(); ++i) {
+        std::ifstream file(files[i]);
+        nlohmann::json summary = nlohmann::json::parse(file, nullptr, false);
+        if (!summary.is_object() || !summary.contains("series")) {
+            printError("'" + files[i] + "' is no summary of a run");
+            return 1;
+        }
+        summaries.push_back(std::move(summary));
+    }
+    writeFile(files[0], formatHtml(summaries));
+    printLine("wrote " + files[0]);
+    return 0;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    chestnut::blockTerminationSignals();
+    const std::string command = argc > 1 ? argv[1] : "";
+    if (command == "report" || command == "oracle") {
+        try {
+            return command == "report" ? report({argv + 2, argv + argc}) : oracle({argv + 2, argv + argc});
+        } catch (const std::exception &problem) {
+            chestnut::printError(problem.what());
+            return 1;
+        }
+    }
+    return chestnut::runProgram(argc, argv, "chestnutgw-load", "Sends load to entry instances and compares what came back with the bound",
+                                chestnut::LOAD_SETTINGS, run);
 }
--- a/src/peer/peer_node.cpp
+++ b/src/peer/peer_node.cpp
@@ -17,9 +17,9 @@
 {
 
 constexpr milliseconds EXCHANGE_TIMEOUT{800};
-constexpr milliseconds RELAY_TIMEOUT{2500}; // the peer itself waits for the log
-constexpr milliseconds ROUND_INTERVAL{250}; // between looks at whether a heartbeat is due
-constexpr int MAX_RELAY_PEERS = 3; // peers tried for one relayed call
+constexpr milliseconds RELAY_TIMEOUT{2500};      // the peer itself waits for the log
+constexpr milliseconds ROUND_INTERVAL{250};      // between looks at whether a heartbeat is due
+constexpr int MAX_RELAY_PEERS = 3;               // peers tried for one relayed call
 constexpr std::uint32_t RELAY_READ_LIMIT = 2000; // records in one relayed read
 
 //-----------------------------------------------------------------------------
@@ -64,7 +64,7 @@
 }
 
 // Rows of a request or a reply, the sender's own first.
-template<typename message_type>
+template <typename message_type>
 std::vector<member> rowsOf(const message_type &message)
 {
     std::vector<member> rows{fromMessage(message.sender())};
@@ -104,8 +104,9 @@
 }
 
 // One outgoing call, kept until its callback ran.
-template<typename request_type, typename reply_type>
-struct outgoing {
+template <typename request_type, typename reply_type>
+struct outgoing
+{
     grpc::ClientContext context;
     request_type request;
     reply_type reply;
@@ -230,7 +231,8 @@
         }
         for (const auto &[row, state] : m_members.takeChanges(now)) {
             static constexpr const char *NAMES[] = {"alive", "suspect", "dead"};
-            logLine(log_level::info, "member_state", {{"instance", row.id.text}, {"state", NAMES[static_cast<int>(state)]}, {"failure_domain", row.domain.text}});
+            logLine(log_level::info, "member_state",
+                    {{"instance", row.id.text}, {"state", NAMES[static_cast<int>(state)]}, {"failure_domain", row.domain.text}});
         }
         m_loop.after(ROUND_INTERVAL, [this, alive = m_alive] {
             if (*alive) {
@@ -287,23 +289,25 @@
         call->request.set_from(from.value);
         call->request.set_limit(RELAY_READ_LIMIT);
         call->context.set_deadline(std::chrono::system_clock::now() + RELAY_TIMEOUT);
-        stub(address).async()->readRecords(&call->context, &call->request, &call->reply, [this, call, addresses, stream, from, done, alive = m_alive](const grpc::Status &status) {
-            m_loop.post([this, call, addresses, stream, from, done, ok = status.ok(), alive] {
-                if (!*alive) {
-                    return;
-                }
-                if (ok) {
-                    m_counters.count("chestnutgw_relayed_reads_total");
-                    done(fromMessage(call->reply));
-                    return;
-                }
-                readThrough(addresses, stream, from, done);
-            });
-        });
+        stub(address).async()->readRecords(&call->context, &call->request, &call->reply,
+                                           [this, call, addresses, stream, from, done, alive = m_alive](const grpc::Status &status) {
+                                               m_loop.post([this, call, addresses, stream, from, done, ok = status.ok(), alive] {
+                                                   if (!*alive) {
+                                                       return;
+                                                   }
+                                                   if (ok) {
+                                                       m_counters.count("chestnutgw_relayed_reads_total");
+                                                       done(fromMessage(call->reply));
+                                                       return;
+                                                   }
+                                                   readThrough(addresses, stream, from, done);
+                                               });
+                                           });
     }
 
     // worst: what earlier peers left open; unknown stays unknown even if a later peer refuses.
-    void appendThrough(std::vector<std::string> addresses, const std::string &stream, const std::vector<std::string> &records, append_status worst, const std::function<void(append_result)> &done)
+    void appendThrough(std::vector<std::string> addresses, const std::string &stream, const std::vector<std::string> &records, append_status worst,
+                       const std::function<void(append_result)> &done)
     {
         if (addresses.empty()) {
             done({worst, {}});
@@ -317,20 +321,23 @@
             call->request.add_data(record);
         }
         call->context.set_deadline(std::chrono::system_clock::now() + RELAY_TIMEOUT);
-        stub(address).async()->appendRecords(&call->context, &call->request, &call->reply, [this, call, addresses, stream, records, worst, done, alive = m_alive](const grpc::Status &status) {
-            m_loop.post([this, call, addresses, stream, records, worst, done, ok = status.ok(), alive] {
-                if (!*alive) {
-                    return;
-                }
-                const append_status got = ok && call->reply.result() <= static_cast<std::uint32_t>(append_status::unknown) ? static_cast<append_status>(call->reply.result()) : append_status::unknown;
-                if (got == append_status::appended) {
-                    m_counters.count("chestnutgw_relayed_appends_total");
-                    done({got, log_offset{call->reply.first_offset()}});
-                    return;
-                }
-                appendThrough(addresses, stream, records, std::max(worst, got), done);
-            });
-        });
+        stub(address).async()->appendRecords(&call->context, &call->request, &call->reply,
+                                             [this, call, addresses, stream, records, worst, done, alive = m_alive](const grpc::Status &status) {
+                                                 m_loop.post([this, call, addresses, stream, records, worst, done, ok = status.ok(), alive] {
+                                                     if (!*alive) {
+                                                         return;
+                                                     }
+                                                     const append_status got = ok && call->reply.result() <= static_cast<std::uint32_t>(append_status::unknown)
+                                                         ? static_cast<append_status>(call->reply.result())
+                                                         : append_status::unknown;
+                                                     if (got == append_status::appended) {
+                                                         m_counters.count("chestnutgw_relayed_appends_total");
+                                                         done({got, log_offset{call->reply.first_offset()}});
+                                                         return;
+                                                     }
+                                                     appendThrough(addresses, stream, records, std::max(worst, got), done);
+                                                 });
+                                             });
     }
 
     // Live peers for relayed calls, own failure domain last in the list and so tried first.
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -12,7 +12,8 @@
 {
 
 // What a node answers to its peers. Called on the node's loop.
-struct peer_handler {
+struct peer_handler
+{
     stream_source read; // records of a stream for a peer that cannot reach the log
     std::function<void(const std::string &stream, std::vector<std::string> records, std::function<void(append_result)> done)> append;
     std::function<void(const std::vector<member> &)> onExchange; // after rows were merged
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -15,7 +15,7 @@
 
 constexpr milliseconds CONNECT_TIMEOUT{500};
 constexpr milliseconds APPEND_TIMEOUT{1500}; // after this an append counts as unknown
-constexpr milliseconds READ_MARGIN{1500}; // a long poll silent for longer than its wait plus this is dead
+constexpr milliseconds READ_MARGIN{1500};    // a long poll silent for longer than its wait plus this is dead
 
 append_result parseAppendAnswer(const http_result &result)
 {
@@ -49,7 +49,8 @@
         answer.at("oldest").get_to(read.oldest.value);
         answer.at("next").get_to(read.next.value);
         for (const json &one : answer.at("records")) {
-            read.entries.push_back({log_offset{one.at("offset").get<std::uint64_t>()}, one.at("time_ms").get<std::int64_t>(), one.at("data").get<std::string>()});
+            read.entries.push_back(
+                {log_offset{one.at("offset").get<std::uint64_t>()}, one.at("time_ms").get<std::int64_t>(), one.at("data").get<std::string>()});
         }
         read.ok = true;
         return read;
@@ -82,7 +83,8 @@
     void read(const std::string &stream, log_offset from, int limit, milliseconds wait, std::function<void(read_result)> done) override
     {
         http_request request;
-        request.url = m_url + "/streams/" + stream + "/records?from=" + std::to_string(from.value) + "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(wait.count());
+        request.url = m_url + "/streams/" + stream + "/records?from=" + std::to_string(from.value) + "&limit=" + std::to_string(limit)
+            + "&wait_ms=" + std::to_string(wait.count());
         request.connectTimeout = CONNECT_TIMEOUT;
         request.totalTimeout = wait + READ_MARGIN;
         m_loop.start(std::move(request), {{}, [done](const http_result &result) { done(parseReadAnswer(result)); }});
@@ -102,7 +104,8 @@
         std::vector<listed_instance> list;
         const json answer = json::parse(result.body);
         for (const json &one : answer.at("instances")) {
-            list.push_back({one.at("name").get<std::string>(), one.at("role").get<std::string>(), one.at("address").get<std::string>(), domain_id{one.at("failure_domain").get<std::string>()}, one.at("state").get<std::string>() == "leaving"});
+            list.push_back({one.at("name").get<std::string>(), one.at("role").get<std::string>(), one.at("address").get<std::string>(),
+                            domain_id{one.at("failure_domain").get<std::string>()}, one.at("state").get<std::string>() == "leaving"});
         }
         return list;
     } catch (const json::exception &) {
@@ -133,8 +136,12 @@
     std::string m_url;
 };
 
-const plugin_registrar<log_service, event_loop &, const std::string &> LOG("http", [](event_loop &loop, const std::string &url) { return std::make_unique<http_log_service>(loop, url); });
-const plugin_registrar<instance_list, event_loop &, const std::string &> INSTANCES("http", [](event_loop &loop, const std::string &url) { return std::make_unique<http_instance_list>(loop, url); });
+const plugin_registrar<log_service, event_loop &, const std::string &> LOG("http", [](event_loop &loop, const std::string &url) {
+    return std::make_unique<http_log_service>(loop, url);
+});
+const plugin_registrar<instance_list, event_loop &, const std::string &> INSTANCES("http", [](event_loop &loop, const std::string &url) {
+    return std::make_unique<http_instance_list>(loop, url);
+});
 
 }
 
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -11,21 +11,24 @@
 {
 
 // One record as read from the log.
-struct log_entry {
+struct log_entry
+{
     log_offset offset;
     std::int64_t timeMs = 0; // append time by the log service's clock
     std::string data;
 };
 
-struct append_result {
+struct append_result
+{
     append_status status = append_status::unknown;
     log_offset first; // offset of the first record, if appended
 };
 
-struct read_result {
+struct read_result
+{
     bool ok = false;
-    log_offset oldest; // lowest offset still kept
-    log_offset next; // offset of the next record to be appended
+    log_offset oldest;              // lowest offset still kept
+    log_offset next;                // offset of the next record to be appended
     std::vector<log_entry> entries; // in order
 };
 
@@ -40,9 +43,10 @@
 };
 
 // One line of the platform's instance list. The list lags.
-struct listed_instance {
+struct listed_instance
+{
     std::string name;
-    std::string role; // server, replica or entry
+    std::string role;    // server, replica or entry
     std::string address; // IP:port
     domain_id domain;
     bool leaving = false;
--- a/src/platform/stream_follower.h
+++ b/src/platform/stream_follower.h
@@ -6,11 +6,12 @@
 {
 
 // What a follower tells its owner. All on the follower's loop.
-struct follower_handler {
+struct follower_handler
+{
     std::function<void(const std::vector<log_entry> &)> onEntries; // in order, without gap
-    std::function<void(log_offset oldest)> onLost; // records between the last one and oldest are gone for good
-    std::function<void()> onCaughtUp; // the head seen at this moment has been read
-    std::function<void(bool reachable)> onReachable; // the log can be read, or no longer
+    std::function<void(log_offset oldest)> onLost;                 // records between the last one and oldest are gone for good
+    std::function<void()> onCaughtUp;                              // the head seen at this moment has been read
+    std::function<void(bool reachable)> onReachable;               // the log can be read, or no longer
 };
 
 // Follows one stream by long polls; falls back to another source while the log is away. Loop thread only.
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -48,7 +48,9 @@
         if (at == std::string::npos || colon == std::string::npos || dash == std::string::npos) {
             throw std::invalid_argument("'" + one + "' is not model@version:first-last");
         }
-        holdings.push_back({model_id{one.substr(0, at)}, one.substr(at + 1, colon - at - 1), {std::stoi(one.substr(colon + 1, dash - colon - 1)), std::stoi(one.substr(dash + 1))}});
+        holdings.push_back({model_id{one.substr(0, at)},
+                            one.substr(at + 1, colon - at - 1),
+                            {std::stoi(one.substr(colon + 1, dash - colon - 1)), std::stoi(one.substr(dash + 1))}});
         start = end + 1;
     }
     return holdings;
@@ -102,11 +104,12 @@
 // Generations
 //-----------------------------------------------------------------------------
 
-struct engine_standin::generation {
-    call_pointer call; // gets the events
-    json work; // sent along the chain
+struct engine_standin::generation
+{
+    call_pointer call;         // gets the events
+    json work;                 // sent along the chain
     std::uint64_t context = 0; // of the next token
-    int index = 0; // of the next token
+    int index = 0;             // of the next token
     int maxTokens = 0;
     std::string key; // request/attempt
 };
@@ -135,7 +138,8 @@
         self->context = oracleNextContext(self->context, token.get<std::string>());
         ++self->index;
     }
-    self->work = {{"request", body.at("request")}, {"attempt", body.at("attempt")}, {"model", model}, {"version", version}, {"chain", body.at("chain")}, {"priority", body.value("priority", 0)}};
+    self->work = {{"request", body.at("request")}, {"attempt", body.at("attempt")},        {"model", model}, {"version", version},
+                  {"chain", body.at("chain")},     {"priority", body.value("priority", 0)}};
     self->work["prefill"] = std::count(prompt.begin(), prompt.end(), ' ') + 1 + self->index;
     m_streams[self->key] = std::chrono::steady_clock::now();
     http_response head;
@@ -173,7 +177,8 @@
         return;
     }
     const std::string text = result.at("text").get<std::string>();
-    const json event{{"attempt", self->work["attempt"]}, {"index", self->index}, {"text", text}, {"version", self->work["version"]}, {"stages", result.at("stages")}};
+    const json event{
+        {"attempt", self->work["attempt"]}, {"index", self->index}, {"text", text}, {"version", self->work["version"]}, {"stages", result.at("stages")}};
     self->call->write("data: " + event.dump() + "\n\n");
     ++m_tokens;
     ++self->index;
@@ -210,10 +215,11 @@
             if (last || result.value("stop", false)) {
                 m_streams.erase(key);
             }
-            loop().after(milliseconds(static_cast<int>(delayMs)), [this, call, result = std::move(result)] { answerJson(call, result, result.contains("error") ? 502 : 200); });
+            loop().after(microseconds(static_cast<std::int64_t>(delayMs * 1000)),
+                         [this, call, result = std::move(result)] { answerJson(call, result, result.contains("error") ? 502 : 200); });
         });
     };
-    loop().after(milliseconds(static_cast<int>(delayMs)), run);
+    loop().after(microseconds(static_cast<std::int64_t>(delayMs * 1000)), run);
 }
 
 void engine_standin::runStages(const json &work, std::function<void(json)> done)
@@ -226,27 +232,28 @@
     }
     const double prefill = 1 + m_options.prefillShare * work.value("prefill", 0);
     const steady_time received = std::chrono::steady_clock::now();
-    enqueue(work.value("priority", 0), {m_options.layerMs * range.count() * prefill * faults().slow, [this, work = json(work), range, received, done = std::move(done)]() mutable {
-                                            std::uint64_t state = work.at("state").get<std::uint64_t>();
-                                            for (int layer = range.first; layer < range.last; ++layer) {
-                                                state = oracleLayer(state, layer);
-                                            }
-                                            const double stageMs = toSeconds(std::chrono::steady_clock::now() - received) * 1000;
-                                            const json self{{"server", m_options.name}, {"first", range.first}, {"last", range.last}, {"stage_ms", stageMs}, {"link_ms", 0.0}};
-                                            const std::size_t position = work.at("position").get<std::size_t>();
-                                            if (position + 1 == work.at("chain").size()) {
-                                                done(json{{"text", oracleToken(state)}, {"stop", oracleStops(state)}, {"stages", json::array({self})}});
-                                                return;
-                                            }
-                                            work["state"] = state;
-                                            work["position"] = position + 1;
-                                            forward(std::move(work), [self, done = std::move(done)](json result) {
-                                                if (result.contains("stages")) {
-                                                    result["stages"].insert(result["stages"].begin(), self);
-                                                }
-                                                done(std::move(result));
-                                            });
-                                        }});
+    enqueue(work.value("priority", 0),
+            {m_options.layerMs * range.count() * prefill * faults().slow, [this, work = json(work), range, received, done = std::move(done)]() mutable {
+                 std::uint64_t state = work.at("state").get<std::uint64_t>();
+                 for (int layer = range.first; layer < range.last; ++layer) {
+                     state = oracleLayer(state, layer);
+                 }
+                 const double stageMs = toSeconds(std::chrono::steady_clock::now() - received) * 1000;
+                 const json self{{"server", m_options.name}, {"first", range.first}, {"last", range.last}, {"stage_ms", stageMs}, {"link_ms", 0.0}};
+                 const std::size_t position = work.at("position").get<std::size_t>();
+                 if (position + 1 == work.at("chain").size()) {
+                     done(json{{"text", oracleToken(state)}, {"stop", oracleStops(state)}, {"stages", json::array({self})}});
+                     return;
+                 }
+                 work["state"] = state;
+                 work["position"] = position + 1;
+                 forward(std::move(work), [self, done = std::move(done)](json result) {
+                     if (result.contains("stages")) {
+                         result["stages"].insert(result["stages"].begin(), self);
+                     }
+                     done(std::move(result));
+                 });
+             }});
 }
 
 void engine_standin::forward(json work, std::function<void(json)> done)
@@ -262,22 +269,23 @@
     request.totalTimeout = m_options.hopTimeout * static_cast<int>(behind);
     request.body = work.dump();
     const steady_time sent = std::chrono::steady_clock::now();
-    loop().start(std::move(request), {{}, [server, sent, done = std::move(done)](const http_result &result) {
-                                          json answer = json::parse(result.body, nullptr, false);
-                                          if (!result.completed() || !answer.is_object() || (!answer.contains("stages") && !answer.contains("error"))) {
-                                              done(errorObject("stage_lost", server, result.error.empty() ? "HTTP status " + std::to_string(result.status) : result.error));
-                                              return;
-                                          }
-                                          if (answer.contains("stages")) {
-                                              double below = 0;
-                                              for (const json &stage : answer["stages"]) {
-                                                  below += stage.at("stage_ms").get<double>() + 2 * stage.at("link_ms").get<double>();
-                                              }
-                                              const double roundTripMs = toSeconds(std::chrono::steady_clock::now() - sent) * 1000;
-                                              answer["stages"][0]["link_ms"] = std::max(0.0, (roundTripMs - below) / 2);
-                                          }
-                                          done(std::move(answer));
-                                      }});
+    loop().start(std::move(request),
+                 {{}, [server, sent, done = std::move(done)](const http_result &result) {
+                      json answer = json::parse(result.body, nullptr, false);
+                      if (!result.completed() || !answer.is_object() || (!answer.contains("stages") && !answer.contains("error"))) {
+                          done(errorObject("stage_lost", server, result.error.empty() ? "HTTP status " + std::to_string(result.status) : result.error));
+                          return;
+                      }
+                      if (answer.contains("stages")) {
+                          double below = 0;
+                          for (const json &stage : answer["stages"]) {
+                              below += stage.at("stage_ms").get<double>() + 2 * stage.at("link_ms").get<double>();
+                          }
+                          const double roundTripMs = toSeconds(std::chrono::steady_clock::now() - sent) * 1000;
+                          answer["stages"][0]["link_ms"] = std::max(0.0, (roundTripMs - below) / 2);
+                      }
+                      done(std::move(answer));
+                  }});
 }
 
 //-----------------------------------------------------------------------------
@@ -304,7 +312,7 @@
         const double nowMs = toSeconds(std::chrono::steady_clock::now() - m_start) * 1000;
         double &free = *std::min_element(m_slotFreeMs.begin(), m_slotFreeMs.end());
         free = std::max(free, nowMs - 2) + work.durationMs;
-        const auto wait = milliseconds(std::max<std::int64_t>(0, static_cast<std::int64_t>(free - nowMs + 0.5)));
+        const auto wait = microseconds(std::max<std::int64_t>(0, static_cast<std::int64_t>((free - nowMs) * 1000)));
         loop().after(wait, [this, done = std::move(work.done)] {
             --m_running;
             done();
@@ -319,7 +327,8 @@
 
 bool engine_standin::holds(const std::string &model, const std::string &version, const layer_range &range) const
 {
-    return std::any_of(m_options.holdings.begin(), m_options.holdings.end(), [&](const holding &one) { return one.model.text == model && one.version == version && one.range == range; });
+    return std::any_of(m_options.holdings.begin(), m_options.holdings.end(),
+                       [&](const holding &one) { return one.model.text == model && one.version == version && one.range == range; });
 }
 
 int engine_standin::countStreams()
@@ -339,8 +348,20 @@
     for (const auto &[priority, jobs] : m_queue) {
         queued += jobs.size();
     }
-    return json{{"server", m_options.name}, {"holds", held}, {"active", m_running}, {"queued", queued}, {"slots", m_options.slots}, {"layer_ms", m_options.layerMs * faults().slow}, {"streams", countStreams()}, {"leaving", faults().leaving},
-                {"fence", m_fence}, {"orders", m_orders}, {"stale_orders", m_staleOrders}, {"loading", m_loading}, {"tokens", m_tokens}};
+    return json{{"server", m_options.name},
+                {"holds", held},
+                {"active", m_running},
+                {"queued", queued},
+                {"slots", m_options.slots},
+                {"max_layers", m_options.maxLayers},
+                {"layer_ms", m_options.layerMs * faults().slow},
+                {"streams", countStreams()},
+                {"leaving", faults().leaving},
+                {"fence", m_fence},
+                {"orders", m_orders},
+                {"stale_orders", m_staleOrders},
+                {"loading", m_loading},
+                {"tokens", m_tokens}};
 }
 
 void engine_standin::takeOrder(const call_pointer &call)
@@ -356,8 +377,17 @@
     }
     m_fence = std::max(m_fence, fence);
     std::vector<holding> wanted;
+    int layers = 0;
     for (const json &one : body.at("holds")) {
-        wanted.push_back({model_id{one.at("model").get<std::string>()}, one.at("version").get<std::string>(), {one.at("first").get<int>(), one.at("last").get<int>()}});
+        wanted.push_back(
+            {model_id{one.at("model").get<std::string>()}, one.at("version").get<std::string>(), {one.at("first").get<int>(), one.at("last").get<int>()}});
+    }
+    for (const holding &one : wanted) {
+        layers += one.range.count();
+    }
+    if (layers > m_options.maxLayers) {
+        call->respond(refusal(400, "too_large", m_options.name, "the layers do not fit"));
+        return;
     }
     if (wanted != m_options.holdings && !m_loading) {
         ++m_orders;
--- a/src/standin/log_standin.cpp
+++ b/src/standin/log_standin.cpp
@@ -116,7 +116,8 @@
         return;
     }
     nlohmann::json records = nlohmann::json::array();
-    const auto start = std::lower_bound(source.records.begin(), source.records.end(), from, [](const record &one, std::uint64_t offset) { return one.offset < offset; });
+    const auto start
+        = std::lower_bound(source.records.begin(), source.records.end(), from, [](const record &one, std::uint64_t offset) { return one.offset < offset; });
     for (auto at = start; at != source.records.end() && records.size() < limit; ++at) {
         records.push_back({{"offset", at->offset}, {"time_ms", at->timeMs}, {"data", at->data}});
     }
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -11,24 +11,26 @@
 
 using namespace chestnut;
 
-struct standin_settings {
-    std::string mode = "engine"; // engine, service, log, instances or weights
-    int port = 0; // TCP port, 0 = chosen by the system
-    std::string name = "engine"; // engine: name as in the sheet
-    std::string holds; // engine: model@version:first-last;...
-    int slots = 4; // engine: activations served at once
-    double layerMs = 0.2; // engine: ms for one layer of one token
-    double linkMs = 0; // engine: ms one way to this engine
-    bool checksFence = true; // engine: refuses old fencing numbers
-    std::string weightsUrl; // engine: weight store
-    milliseconds hopTimeout{400}; // engine: wait for the next stage
-    bool deduplicates = false; // service: runs each key once
-    milliseconds serviceTime{0}; // service: time for one call
-    double appendsPerSecond = 400; // log: rate limit
+struct standin_settings
+{
+    std::string mode = "engine";       // engine, service, log, instances or weights
+    int port = 0;                      // TCP port, 0 = chosen by the system
+    std::string name = "engine";       // engine: name as in the sheet
+    std::string holds;                 // engine: model@version:first-last;...
+    int slots = 4;                     // engine: activations served at once
+    int maxLayers = 16;                // engine: layers that fit
+    double layerMs = 0.2;              // engine: ms for one layer of one token
+    double linkMs = 0;                 // engine: ms one way to this engine
+    bool checksFence = true;           // engine: refuses old fencing numbers
+    std::string weightsUrl;            // engine: weight store
+    milliseconds hopTimeout{400};      // engine: wait for the next stage
+    bool deduplicates = false;         // service: runs each key once
+    milliseconds serviceTime{0};       // service: time for one call
+    double appendsPerSecond = 400;     // log: rate limit
     milliseconds retention{3'600'000}; // log: records are kept so long
-    milliseconds lag{1000}; // instances: changes show so late
-    double layersPerSecond = 100; // weights: rate
-    milliseconds drainLimit{30'000}; // engine: longest wait for streams after SIGTERM
+    milliseconds lag{1000};            // instances: changes show so late
+    double layersPerSecond = 100;      // weights: rate
+    milliseconds drainLimit{30'000};   // engine: longest wait for streams after SIGTERM
 };
 
 const setting_row<standin_settings> TABLE[] = {
@@ -37,6 +39,7 @@
     {"engine.name", &standin_settings::name, 1, 200, "text", "server name as in the sheet"},
     {"engine.holds", &standin_settings::holds, 0, 10000, "model@version:first-last;...", "layers held at the start"},
     {"engine.slots", &standin_settings::slots, 1, 4096, "activations", "activations served at once"},
+    {"engine.max_layers", &standin_settings::maxLayers, 1, 10000, "layers", "layers that fit into memory"},
     {"engine.layer_ms", &standin_settings::layerMs, 0.0001, 1000, "ms", "service time of one layer for one token"},
     {"engine.link_ms", &standin_settings::linkMs, 0, 1000, "ms", "one-way delay of the link to this engine"},
     {"engine.checks_fence", &standin_settings::checksFence, 0, 1, "yes/no", "refuse orders with an old fencing number"},
@@ -70,6 +73,7 @@
     options.name = settings.name;
     options.port = static_cast<std::uint16_t>(settings.port);
     options.slots = settings.slots;
+    options.maxLayers = settings.maxLayers;
     options.layerMs = settings.layerMs;
     options.linkMs = settings.linkMs;
     options.checksFence = settings.checksFence;
--- a/src/standin/oracle.h
+++ b/src/standin/oracle.h
@@ -18,9 +18,10 @@
 // True if the answer ends with the token of this state.
 bool oracleStops(std::uint64_t state);
 
-struct oracle_answer {
+struct oracle_answer
+{
     std::vector<std::string> tokens; // in order
-    std::string reason; // stop or length
+    std::string reason;              // stop or length
 
     std::string text() const;
 };
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-template<typename value>
+template <typename value>
 void take(const nlohmann::json &change, const char *name, value &target)
 {
     if (change.contains(name)) {
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -14,15 +14,16 @@
 {
 
 // Faults that every stand-in knows. A PUT /faults with a JSON object changes the members it names.
-struct standin_faults {
-    int delayMs = 0; // added before each answer
-    int dropAnswers = 0; // so many answers are dropped after their effect
-    bool refuse = false; // 503 with verdict not_run
-    bool stall = false; // requests are taken and never answered
+struct standin_faults
+{
+    int delayMs = 0;      // added before each answer
+    int dropAnswers = 0;  // so many answers are dropped after their effect
+    bool refuse = false;  // 503 with verdict not_run
+    bool stall = false;   // requests are taken and never answered
     bool silence = false; // connections that stand now never carry another byte, new ones work
-    bool crash = false; // connections are cut, new ones are cut at once
+    bool crash = false;   // connections are cut, new ones are cut at once
     bool leaving = false; // engine: asks for no new work
-    double slow = 1; // engine: service times are multiplied by this
+    double slow = 1;      // engine: service times are multiplied by this
 };
 
 // What is common to the stand-ins: server, loop and faults.
@@ -78,13 +79,14 @@
     std::unique_ptr<http_server> m_server;
     standin_faults m_faults;
     std::uint64_t m_lastConnection = 0; // highest number seen
-    std::uint64_t m_silentUpTo = 0; // connections up to this number are silent
-    std::vector<call_pointer> m_held; // calls kept unanswered by a fault
+    std::uint64_t m_silentUpTo = 0;     // connections up to this number are silent
+    std::vector<call_pointer> m_held;   // calls kept unanswered by a fault
 };
 
-struct log_standin_options {
+struct log_standin_options
+{
     std::uint16_t port = 0;
-    double appendsPerSecond = 400; // further appends get 429
+    double appendsPerSecond = 400;     // further appends get 429
     milliseconds retention{3'600'000}; // older records are dropped
 };
 
@@ -96,12 +98,14 @@
     ~log_standin() override;
 
 private:
-    struct record {
+    struct record
+    {
         std::uint64_t offset;
         std::int64_t timeMs;
         std::string data;
     };
-    struct stream {
+    struct stream
+    {
         std::uint64_t next = 1;
         std::deque<record> records;
         std::vector<std::function<void()>> waiters; // long polls
@@ -165,16 +169,18 @@
     std::uint64_t m_total = 0;
 };
 
-struct engine_standin_options {
+struct engine_standin_options
+{
     std::string name = "engine"; // server name as in the sheet
     std::uint16_t port = 0;
-    int slots = 4; // activations served at once
-    double layerMs = 0.2; // service time of one layer for one token
-    double linkMs = 0; // one-way delay of the link to this engine
-    double prefillShare = 0.02; // service time of one prompt word as a share of one token's
-    bool checksFence = true; // refuses orders with an old fencing number
-    milliseconds hopTimeout{400}; // longest wait for the next stage beyond its expected time
-    std::string weightsUrl; // weight store, empty = loads take no time
+    int slots = 4;                 // activations served at once
+    int maxLayers = 16;            // layers that fit into memory
+    double layerMs = 0.2;          // service time of one layer for one token
+    double linkMs = 0;             // one-way delay of the link to this engine
+    double prefillShare = 0.02;    // service time of one prompt word as a share of one token's
+    bool checksFence = true;       // refuses orders with an old fencing number
+    milliseconds hopTimeout{400};  // longest wait for the next stage beyond its expected time
+    std::string weightsUrl;        // weight store, empty = loads take no time
     std::vector<holding> holdings; // held at the start
 };
 
@@ -192,7 +198,8 @@
     bool busy();
 
 private:
-    struct job {
+    struct job
+    {
         double durationMs;
         std::function<void()> done;
     };
@@ -223,9 +230,9 @@
     std::vector<double> m_slotFreeMs; // when each slot is free, in ms since m_start
     steady_time m_start;
     std::map<std::string, steady_time> m_streams; // request/attempt by last activation
-    std::uint64_t m_fence = 0; // highest fencing number seen
-    int m_orders = 0; // orders that had an effect
-    int m_staleOrders = 0; // of these, with a number below one seen before
+    std::uint64_t m_fence = 0;                    // highest fencing number seen
+    int m_orders = 0;                             // orders that had an effect
+    int m_staleOrders = 0;                        // of these, with a number below one seen before
     bool m_loading = false;
     std::uint64_t m_tokens = 0;
     std::map<std::string, int> m_generationOf; // runs by request/attempt
--- a/tests/claims_test.cpp
+++ b/tests/claims_test.cpp
@@ -10,7 +10,8 @@
 {
 
 // The claims stream and any number of desks that follow it.
-struct desk_bench {
+struct desk_bench
+{
     std::vector<std::string> log; // records in offset order
     std::vector<std::unique_ptr<claim_desk>> desks;
     steady_time now = steady_time(seconds(1000));
@@ -204,7 +205,8 @@
     CHECK(back.body == record.body);
     CHECK(back.ran == record.ran);
     CHECK(back.status == 504);
-    for (const char *text : {"", "{}", "[]", R"({"k":"a","a":"b","t":"other"})", R"({"k":1,"a":"b","t":"claim"})", R"({"k":"a","a":"b","t":"outcome","v":"ran","s":200,"c":"","b":"***","x":false})"}) {
+    for (const char *text : {"", "{}", "[]", R"({"k":"a","a":"b","t":"other"})", R"({"k":1,"a":"b","t":"claim"})",
+                             R"({"k":"a","a":"b","t":"outcome","v":"ran","s":200,"c":"","b":"***","x":false})"}) {
         CHECK_THROWS_AS(decodeClaim(text), std::invalid_argument);
     }
 }
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -44,7 +44,12 @@
 
 child_process &cluster::startEntry(const std::string &name, const std::vector<std::string> &extra)
 {
-    std::vector<std::string> settings{"instance.name=" + name, "instance.failure_domain=" + domainName(static_cast<int>(entries.size()), m_options.domains), "platform.log_url=" + log->url(), "backend.report_interval=100", "test.faults=yes", "log.level=error"};
+    std::vector<std::string> settings{"instance.name=" + name,
+                                      "instance.failure_domain=" + domainName(static_cast<int>(entries.size()), m_options.domains),
+                                      "platform.log_url=" + log->url(),
+                                      "backend.report_interval=100",
+                                      "test.faults=yes",
+                                      "log.level=error"};
     std::string peers;
     for (const auto &entry : entries) {
         peers += (peers.empty() ? "" : ",") + entry->peerAddress();
@@ -84,7 +89,8 @@
     for (std::size_t i = 0; i < engines.size(); ++i) {
         config_row server;
         server.kind = "server";
-        server.name = "s" + std::to_string(static_cast<int>(i) / m_options.enginesPerStage) + "-" + std::to_string(static_cast<int>(i) % m_options.enginesPerStage);
+        server.name
+            = "s" + std::to_string(static_cast<int>(i) / m_options.enginesPerStage) + "-" + std::to_string(static_cast<int>(i) % m_options.enginesPerStage);
         server.failureDomain = domainName(static_cast<int>(i), m_options.domains);
         server.address = engines[i]->address();
         server.accelerator = "standin";
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -13,17 +13,18 @@
 class cluster
 {
 public:
-    struct options {
-        int entries = 3; // instances, spread over the failure domains
-        int domains = 3; // failure domains
-        int stages = 2; // stages of the model
-        int enginesPerStage = 2; // engines that hold each range
-        int layers = 12; // of model m1
-        double layerMs = 0.5; // service time of a layer
+    struct options
+    {
+        int entries = 3;                        // instances, spread over the failure domains
+        int domains = 3;                        // failure domains
+        int stages = 2;                         // stages of the model
+        int enginesPerStage = 2;                // engines that hold each range
+        int layers = 12;                        // of model m1
+        double layerMs = 0.5;                   // service time of a layer
         std::vector<std::string> entrySettings; // added for each instance
-        milliseconds retention{3'600'000}; // of the log
-        milliseconds serviceTime{0}; // of the plain service
-        double appendsPerSecond = 400; // log's rate limit
+        milliseconds retention{3'600'000};      // of the log
+        milliseconds serviceTime{0};            // of the plain service
+        double appendsPerSecond = 400;          // log's rate limit
     };
 
     explicit cluster(const options &wanted);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-const std::string HEADER = "kind,name,of,failure_domain,address,accelerator,layers,weight,worth,tokens_per_second,deadline_ms,key_sha256,repeat,checks_fence,state\n";
+const std::string HEADER
+    = "kind,name,of,failure_domain,address,accelerator,layers,weight,worth,tokens_per_second,deadline_ms,key_sha256,repeat,checks_fence,state\n";
 
 config_row modelRow(const std::string &name, int layers)
 {
@@ -36,7 +37,8 @@
 
 TEST_CASE("a sheet reports every fault with row and column", "[unit]")
 {
-    const parsed_sheet sheet = parseSheet(HEADER + "model,m1,,,,,0,,,,,,,,\nversion,v1,m2,,,,,,,,,,,,\nserver,s1,,a,nowhere,x,,,,,,,,yes,lost\nthing,t,,,,,,,,,,,,,\n");
+    const parsed_sheet sheet
+        = parseSheet(HEADER + "model,m1,,,,,0,,,,,,,,\nversion,v1,m2,,,,,,,,,,,,\nserver,s1,,a,nowhere,x,,,,,,,,yes,lost\nthing,t,,,,,,,,,,,,,\n");
     std::set<std::pair<int, std::string>> places;
     for (const sheet_problem &one : sheet.problems) {
         places.insert({one.row, one.column});
@@ -149,7 +151,8 @@
 {
     config_fold fold;
     fold.apply(log_offset{1}, change("c1", 0, {modelRow("m1", 10)}));
-    for (const char *text : {"", "{", "[]", "null", R"({"type":"change"})", R"({"type":"snapshot","as_of":"x"})", R"({"type":"change","id":"x","author":"","base":1,"rows":[{"key":"model//m1","row":{}}]})"}) {
+    for (const char *text : {"", "{", "[]", "null", R"({"type":"change"})", R"({"type":"snapshot","as_of":"x"})",
+                             R"({"type":"change","id":"x","author":"","base":1,"rows":[{"key":"model//m1","row":{}}]})"}) {
         fold.apply(log_offset{fold.applied().value + 1}, text);
     }
     CHECK(fold.applied() == log_offset{8});
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -51,7 +51,8 @@
 
 TEST_CASE("a wrong setting stops the start with status 2 and names the place", "[failure]")
 {
-    const program_result result = runProgramOnce("chestnutgw-entry", {"--check-config", "--set", "instance.port=99999", "--set", "platform.log_url=http://127.0.0.1:1"});
+    const program_result result
+        = runProgramOnce("chestnutgw-entry", {"--check-config", "--set", "instance.port=99999", "--set", "platform.log_url=http://127.0.0.1:1"});
     CHECK(result.status == 2);
     CHECK(runProgramOnce("chestnutgw-entry", {"--check-config", "--set", "platform.log_url=http://127.0.0.1:1"}).status == 0);
     CHECK(runProgramOnce("chestnutgw-entry", {"--help"}).output.find("instance.drain_limit [ms] default 30000") != std::string::npos);
--- a/tests/process.h
+++ b/tests/process.h
@@ -47,14 +47,16 @@
 };
 
 // Runs a program to its end; returns exit status and all output.
-struct program_result {
+struct program_result
+{
     int status = 0;
     std::string output;
 };
 program_result runProgramOnce(const std::string &program, const std::vector<std::string> &arguments);
 
 // Sends one request and waits for the answer.
-http_result request(const std::string &method, const std::string &url, const std::string &body = {}, const std::vector<std::string> &headers = {}, milliseconds timeout = milliseconds(60'000));
+http_result request(const std::string &method, const std::string &url, const std::string &body = {}, const std::vector<std::string> &headers = {},
+                    milliseconds timeout = milliseconds(60'000));
 // Sends requests at once and waits for all answers.
 std::vector<http_result> requestAll(const std::vector<http_request> &requests);
 
