Measure one entry instance against direct calls

Found on the way: the bound was always 0, because the tool iterated over a part of a temporary JSON answer; it is kept now.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -76,7 +76,7 @@
 chat "${ENTRY[4]}" "Write a long commentary on prices." 120 true > "$WORK/long" &
 streaming=$!
 sleep 0.4
-busy=$(ctl --json status | tr '{' '\n' | grep '"streams":[1-9]' | sed -n 's/.*"server":"\([^"]*\)".*/\1/p' | head -1)
+busy=$("$BIN/chestnutctl" --entry "${ENTRY[4]}" --json status | tr '{' '\n' | grep '"own_streams":[1-9]' | sed -n 's/.*"server":"\([^"]*\)".*/\1/p' | head -1)
 echo "  draining ${busy:=gpu-00}"
 ctl drain "$busy" --wait
 wait "$streaming"
--- a/src/load/load_settings.cpp
+++ b/src/load/load_settings.cpp
@@ -3,7 +3,7 @@
 namespace chestnut
 {
 
-const setting_row<load_settings> LOAD_SETTINGS[15] = {
+const setting_row<load_settings> LOAD_SETTINGS[16] = {
     {"load.entries", &load_settings::entries, 9, 100000, "IP:port,...", "entry instances, used in turn"},
     {"load.accounts", &load_settings::accounts, 1, 100000, "name:key:share:worth:model:max_tokens:words;...", "mix of client accounts"},
     {"load.rate", &load_settings::rate, 0.01, 1e6, "1/s", "arrivals over all accounts"},
@@ -18,6 +18,7 @@
     {"load.csv", &load_settings::csv, 0, 4096, "file", "one line a request"},
     {"load.json", &load_settings::json, 0, 4096, "file", "summary, for the report command"},
     {"load.label", &load_settings::label, 1, 200, "text", "name of the run"},
+    {"load.direct", &load_settings::direct, 0, 10000, "server@IP:port:first-last,...", "chain of engines to call without a router"},
     {"load.retry_refused", &load_settings::retryRefused, 0, 1, "yes/no", "callers come back once after Retry-After"},
 };
 
@@ -44,6 +45,23 @@
     return parts;
 }
 
+pipeline_chain parseChain(const std::string &text)
+{
+    pipeline_chain chain;
+    for (const std::string &one : splitText(text, ",")) {
+        const auto at = one.find('@');
+        const auto colon = one.rfind(':');
+        const auto dash = one.rfind('-');
+        if (at == std::string::npos || colon == std::string::npos || colon < at || dash == std::string::npos || dash < colon) {
+            throw settings_error("load.direct: '" + one + "' (allowed: server@IP:port:first-last)");
+        }
+        const int first = static_cast<int>(parseNumber(one.substr(colon + 1, dash - colon - 1), 0, 1000));
+        const int last = static_cast<int>(parseNumber(one.substr(dash + 1), 1, 1000));
+        chain.stages.push_back({server_id{one.substr(0, at)}, one.substr(at + 1, colon - at - 1), {first, last}});
+    }
+    return chain;
+}
+
 std::vector<load_account> parseAccounts(const std::string &text)
 {
     std::vector<load_account> accounts;
--- a/src/load/load_settings.h
+++ b/src/load/load_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/chestnutgw.h"
 #include "kernel/settings.h"
 
 namespace chestnut
@@ -22,11 +23,12 @@
     std::string json; // file for the summary, empty = none
     std::string label = "run"; // name of the run in reports
     bool retryRefused = false; // callers come back once after Retry-After
+    std::string direct; // chain of engines to call without a router, empty = call the entry instances
 };
 
 void checkSettings(const load_settings &settings);
 
-extern const setting_row<load_settings> LOAD_SETTINGS[15];
+extern const setting_row<load_settings> LOAD_SETTINGS[16];
 
 // One client account of the mix.
 struct load_account {
@@ -53,6 +55,9 @@
 // Throws settings_error.
 std::vector<fault_event> parseFaults(const std::string &text);
 
+// Parses "server@IP:port:first-last,...". Throws settings_error.
+pipeline_chain parseChain(const std::string &text);
+
 std::vector<std::string> splitText(const std::string &text, const std::string &separator);
 
 }
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -2,8 +2,10 @@
 
 #include "load/runner.h"
 
+#include "backend/engine.h"
 #include "backend/event_stream.h"
 #include "caller/chat_api.h"
+#include "kernel/registry.h"
 #include "standin/oracle.h"
 
 #include <atomic>
@@ -118,6 +120,7 @@
     {
         for (std::size_t i = 0; i < LOOPS; ++i) {
             m_loops.push_back(std::make_unique<event_loop>("load-" + std::to_string(i)));
+            m_engines.push_back(plugin_registry<engine_adapter, event_loop &>::instance().make("stages", *m_loops.back()));
         }
     }
 
@@ -136,6 +139,11 @@
         m_done.get_future().wait();
     }
 
+    void setModels(std::map<std::string, model_facts> models)
+    {
+        m_models = std::move(models);
+    }
+
     double nowMs() const
     {
         return toSeconds(std::chrono::steady_clock::now() - m_start) * 1000;
@@ -160,6 +168,10 @@
         ++record.tries;
         record.text.clear();
         record.tokens = 0;
+        if (!m_settings.direct.empty()) {
+            sendDirect(index);
+            return;
+        }
         http_request request;
         request.method = "POST";
         request.url = "http://" + m_entries[(index + static_cast<std::size_t>(record.tries - 1)) % m_entries.size()] + "/v1/chat/completions";
@@ -170,9 +182,44 @@
         loop.start(std::move(request), {[this, index, state](int, std::string_view piece) { receive(index, *state, piece); }, [this, &loop, index, state](const http_result &result) { finish(loop, index, *state, result); }});
     }
 
-    void receive(std::size_t index, receiving &state, std::string_view piece)
+    // The same request straight to the first engine of a fixed chain, for comparison.
+    void sendDirect(std::size_t index)
+    {
+        load_record &record = m_result.records[index];
+        const load_account &account = m_result.accounts[record.account];
+        const model_facts &facts = m_models.at(account.model);
+        generate_request request;
+        request.request = request_id{"direct-" + std::to_string(index)};
+        request.attempt = attempt_number{1};
+        request.model = model_id{account.model.substr(0, account.model.find('@'))};
+        request.version = facts.version;
+        request.chain = parseChain(m_settings.direct);
+        request.prompt = joinMessage("user", record.prompt);
+        request.maxTokens = account.maxTokens;
+        const auto end = [this, index](bool whole, int status) {
+            load_record &ended = m_result.records[index];
+            ended.status = status;
+            ended.whole = whole && ended.text == ended.expectedText;
+            ended.endMs = nowMs() - ended.arrivalMs;
+            if (--m_left == 0) {
+                m_done.set_value();
+            }
+        };
+        m_engines[index % LOOPS]->generate(request, {[this, index](const token_event &token, const std::vector<stage_timing> &) { take(index, token.text); }, [end](attempt_number, int, const std::string &) { end(true, 200); }, [end](const engine_failure &) { end(false, 0); }});
+    }
+
+    void take(std::size_t index, const std::string &text)
     {
         load_record &record = m_result.records[index];
+        if (record.tokens == 0) {
+            record.firstTokenMs = nowMs() - record.arrivalMs;
+        }
+        ++record.tokens;
+        record.text += text;
+    }
+
+    void receive(std::size_t index, receiving &state, std::string_view piece)
+    {
         for (const std::string &event : state.decoder.feed(piece)) {
             if (event == "[DONE]") {
                 state.ended = true;
@@ -184,11 +231,7 @@
             }
             const json &choice = chunk["choices"][0];
             if (choice["delta"].contains("content")) {
-                if (record.tokens == 0) {
-                    record.firstTokenMs = nowMs() - record.arrivalMs;
-                }
-                ++record.tokens;
-                record.text += choice["delta"]["content"].get<std::string>();
+                take(index, choice["delta"]["content"].get<std::string>());
             }
             state.finished = state.finished || choice["finish_reason"].is_string();
         }
@@ -221,7 +264,9 @@
     std::atomic<std::size_t> m_left;
     std::promise<void> m_done;
     steady_time m_start;
+    std::map<std::string, model_facts> m_models;
     std::vector<std::unique_ptr<event_loop>> m_loops;
+    std::vector<std::unique_ptr<engine_adapter>> m_engines; // one for each loop
 };
 
 //-----------------------------------------------------------------------------
@@ -238,7 +283,8 @@
         , m_models(models)
         , m_loop("observer")
     {
-        for (const json &server : operatorGet(settings, "/operator/status").at("servers")) {
+        const json status = operatorGet(settings, "/operator/status");
+        for (const json &server : status.at("servers")) {
             m_servers.push_back(server.at("address").get<std::string>());
         }
         m_loop.post([this] { look(); });
@@ -354,6 +400,7 @@
     result.warmupMs = static_cast<double>(settings.warmup.count());
     result.records = planArrivals(settings, result.accounts, models);
     load_run run(settings, result);
+    run.setModels(models);
     {
         const observer watching(settings, result, run, models);
         run.run();
