Failure tests for claims, configuration, leases and pipelines; first repairs

Found by them and mended here: a stopped HTTP server left its listening socket open, so callers were accepted and never answered; every instance drew the same random numbers, so all chose the same servers (the seed is now mixed with the instance name); the dispatch limit of a claim counted from the call's submission although the key's window counts from its claim, so a waiting repeat was refused where it could run.

--- a/src/core/chestnutgw.h
+++ b/src/core/chestnutgw.h
@@ -638,10 +638,9 @@
     {
         std::string key;                // claimed
         std::string fingerprint;        // of the request
-        steady_time submitted;          // for the dispatch limit
         steady_time deadline;           // of the caller
         stage at = stage::queued;       // where the ticket is
-        std::set<std::string> attempts; // all attempts appended or tried for this ticket
+        std::map<std::string, steady_time> attempts; // all attempts tried for this ticket, by their birth
         std::string winner;             // attempt that won, once dispatched
         steady_time retryAt;            // stage unknown: next try
     };
@@ -651,6 +650,7 @@
     void queueClaim(claim_ticket ticket);
     void forgetTicket(claim_ticket ticket);
     void freeKey(const std::string &key, const std::string &attempt);
+    steady_time sendBefore(const waiting &entry) const;
     bool ownAttempt(const std::string &attempt) const;
     bool hasLiveTicket(const std::string &key, const std::string &attempt) const;
 
--- a/src/core/claims.cpp
+++ b/src/core/claims.cpp
@@ -149,7 +149,6 @@
     waiting entry;
     entry.key = key;
     entry.fingerprint = fingerprint;
-    entry.submitted = now;
     entry.deadline = deadline;
     const bool full = m_waiting.size() >= m_limits.maxWaiting;
     m_waiting.emplace(ticket, std::move(entry));
@@ -185,7 +184,7 @@
 bool claim_desk::mayDispatch(claim_ticket ticket, steady_time now) const
 {
     const auto found = m_waiting.find(ticket);
-    return found != m_waiting.end() && found->second.at == stage::dispatched && now - found->second.submitted <= m_limits.dispatchLimit;
+    return found != m_waiting.end() && found->second.at == stage::dispatched && now <= sendBefore(found->second);
 }
 
 // Step OUTCOME of spec/claims.pml.
@@ -232,7 +231,7 @@
         record.key = found->second.key;
         record.fingerprint = found->second.fingerprint;
         record.attempt = m_prefix + std::to_string(m_nextAttempt++);
-        found->second.attempts.insert(record.attempt);
+        found->second.attempts.emplace(record.attempt, now);
         found->second.at = stage::appending;
         m_batchTickets.push_back(ticket);
         m_batch.push_back(encodeClaim(record));
@@ -334,7 +333,7 @@
             return;
         }
         m_dispatchedAttempts.insert(state->winner);
-        m_decisions.push_back({ticket, claim_decision::kind::dispatch, state->winner, entry.submitted + m_limits.dispatchLimit, {}});
+        m_decisions.push_back({ticket, claim_decision::kind::dispatch, state->winner, sendBefore(entry), {}});
         return;
     }
     if (state->fingerprint != entry.fingerprint) {
@@ -400,7 +399,7 @@
         m_ticketsOfKey.erase(tickets);
     }
     const std::string key = found->second.key;
-    const std::set<std::string> attempts = std::move(found->second.attempts);
+    const std::map<std::string, steady_time> attempts = std::move(found->second.attempts);
     const bool wasDispatched = found->second.at == stage::dispatched;
     m_waiting.erase(found);
     const claim_state *state = m_table.find(key);
@@ -423,6 +422,13 @@
     m_outcomes.push_back(encodeClaim(outcome));
 }
 
+// The window of a key counts from its claim's append, which is never before the birth of the attempt.
+steady_time claim_desk::sendBefore(const waiting &entry) const
+{
+    const auto birth = entry.attempts.find(entry.winner);
+    return birth == entry.attempts.end() ? steady_time() : birth->second + m_limits.dispatchLimit;
+}
+
 bool claim_desk::ownAttempt(const std::string &attempt) const
 {
     return attempt.starts_with(m_prefix);
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -167,25 +167,53 @@
     return pipelineRate(own, target.model, target.version, target.layers);
 }
 
-// A stage whose servers are gone while others of the same pipeline still hold their parts: the cheapest repair.
-bool fillGap(planner &plan, const placement_target &target)
+// Parts of a target that are on no complete pipeline.
+std::vector<holding> findOrphans(const std::vector<holding> &parts, const placement_target &target)
 {
-    const std::vector<holding> parts = partsOf(plan.servers, target);
     const std::set<int> fromStart = reachable(parts, 0, true);
     const std::set<int> fromEnd = reachable(parts, target.layers, false);
-    for (const int first : fromStart) {
-        for (const int last : fromEnd) {
-            if (last <= first || (first == 0 && last == target.layers)) {
-                continue;
-            }
-            for (const placement_server &one : candidates(plan, {})) {
-                if (one.maxLayers >= last - first) {
-                    plan.move(one.id, target, {first, last}, "fills the gap in layers " + std::to_string(first) + "-" + std::to_string(last));
-                    return true;
+    std::vector<holding> orphans;
+    for (const holding &one : parts) {
+        if (!fromStart.contains(one.range.first) || !fromEnd.contains(one.range.last)) {
+            orphans.push_back(one);
+        }
+    }
+    return orphans;
+}
+
+// Layers without which an orphaned part is on no pipeline; none if nothing is orphaned.
+std::optional<layer_range> findGap(const std::vector<holding> &parts, const placement_target &target, int room)
+{
+    const std::set<int> fromStart = reachable(parts, 0, true);
+    const std::set<int> fromEnd = reachable(parts, target.layers, false);
+    for (const holding &orphan : findOrphans(parts, target)) {
+        for (const int first : fromStart) {
+            for (const int last : fromEnd) {
+                const bool joins = orphan.range.last == first || orphan.range.first == last;
+                if (joins && first < last && last - first <= room) {
+                    return layer_range{first, last};
                 }
             }
         }
     }
+    return std::nullopt;
+}
+
+// A stage whose servers are gone while others of the same pipeline still hold their parts: the cheapest repair.
+bool fillGap(planner &plan, const placement_target &target)
+{
+    for (const placement_server &one : candidates(plan, {})) {
+        std::vector<placement_server> others;
+        for (const placement_server &server : plan.servers) {
+            if (server.id != one.id) {
+                others.push_back(server); // what the candidate itself holds is no reason to fill a gap beside it
+            }
+        }
+        if (const auto gap = findGap(partsOf(others, target), target, one.maxLayers)) {
+            plan.move(one.id, target, *gap, "fills the gap in layers " + std::to_string(gap->first) + "-" + std::to_string(gap->last));
+            return true;
+        }
+    }
     return false;
 }
 
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t CANDIDATES_PER_STAGE = 24; // servers rated for one position; more are sampled, so that the cost of a choice does not grow with the fleet
 
+constexpr double SPREAD_SHARE = 0.1; // of the service time, at full slots
+
 struct candidate
 {
     const fleet_server *server = nullptr;
@@ -70,7 +72,9 @@
     // With more streams than slots, each token waits for its turn.
     const double turns = std::max(1.0, static_cast<double>(streams + 1) / std::max(1, report.slots));
     const double linkMs = servers.linkMs(previous != nullptr ? previous->id : server_id(), server.id);
-    return serviceMs * turns + linkMs;
+    // Below saturation the load still counts a little: it spreads streams, and so what one failure hits.
+    const double spread = SPREAD_SHARE * serviceMs * streams / std::max(1, report.slots);
+    return serviceMs * turns + spread + linkMs;
 }
 
 std::optional<pipeline_chain> chooseChain(const fleet &servers, const route_query &query, routing_policy &policy, pcg32 &random)
--- a/src/entry/service_driver.cpp
+++ b/src/entry/service_driver.cpp
@@ -105,6 +105,10 @@
         m_shared.decisions.record(self->id, decision_reason::claim_won, "key=" + self->key + " attempt=" + decision.attempt);
         self->ticket = decision.ticket;
         self->sendBefore = decision.sendBefore;
+        if (m_shared.testHoldDispatchMs > 0) {
+            m_loop.after(milliseconds(m_shared.testHoldDispatchMs), [this, self] { send(self); });
+            return;
+        }
         send(self);
         return;
     case claim_decision::kind::recorded:
@@ -187,6 +191,12 @@
     const std::string type = self->call->header("content-type");
     request.headers.push_back("Content-Type: " + (type.empty() ? std::string("application/octet-stream") : type));
     request.headers.push_back("Chestnutgw-Account: " + self->account.id.text);
+    if (m_shared.testHoldSendMs > 0) {
+        m_loop.after(milliseconds(m_shared.testHoldSendMs), [this, self, replica, request] {
+            m_loop.start(request, {{}, [this, self, replica](const http_result &result) { handleAnswer(self, replica, result); }});
+        });
+        return;
+    }
     m_loop.start(std::move(request), {{}, [this, self, replica](const http_result &result) { handleAnswer(self, replica, result); }});
 }
 
--- a/src/entry/shared_state.cpp
+++ b/src/entry/shared_state.cpp
@@ -1,5 +1,6 @@
 #include "entry/shared_state.h"
 
+#include "kernel/hash.h"
 #include "kernel/registry.h"
 
 namespace chestnut
@@ -48,7 +49,7 @@
 entry_shared::entry_shared(const entry_settings &given)
     : settings(given)
     , decisions(counters)
-    , servers(plugin_registry<routing_policy>::instance().make(given.routingPolicy), static_cast<std::uint64_t>(given.seed))
+    , servers(plugin_registry<routing_policy>::instance().make(given.routingPolicy), hashBytes(given.name, static_cast<std::uint64_t>(given.seed)))
     , current(std::make_shared<const deployment>())
     , budget(given.retryShare, RETRY_RESERVE)
     , m_idPrefix(given.name + "-" + std::to_string(wallClockMs()) + "-")
--- a/src/entry/shared_state.h
+++ b/src/entry/shared_state.h
@@ -85,6 +85,8 @@
     std::atomic<bool> leaving = false;                      // shuts down: no new work
     std::atomic<int> inFlight = 0;                          // requests being answered
     std::atomic<std::uint64_t> nextRequest = 1;
+    std::atomic<int> testHoldDispatchMs = 0; // fault for tests: pause between a won claim and the check before its send
+    std::atomic<int> testHoldSendMs = 0; // fault for tests: pause between that check and the send
     std::mutex budgetMutex; // guards budget
     retry_budget budget;
 
--- a/src/kernel/http_server.cpp
+++ b/src/kernel/http_server.cpp
@@ -2,6 +2,8 @@
 
 #include "kernel/http_server.h"
 
+#include "kernel/scope.h"
+
 #include <arpa/inet.h>
 #include <atomic>
 #include <cmath>
@@ -284,7 +286,8 @@
     }
     ~implementation()
     {
-        MHD_quiesce_daemon(m_daemon);
+        // The listening socket becomes ours here; left open, it would take connections that nobody answers.
+        const unique_fd listener(MHD_quiesce_daemon(m_daemon));
         std::vector<call_holder> open;
         {
             const std::lock_guard lock(m_mutex);
--- a/src/standin/plain_standins.cpp
+++ b/src/standin/plain_standins.cpp
@@ -1,4 +1,4 @@
-// Stand-ins for the instance list, the weight store and a plain service.
+// Stand-ins for the instance list, the weight store, a plain service and a link.
 
 #include "standin/standin.h"
 
@@ -111,4 +111,45 @@
     answerJson(call, body);
 }
 
+//-----------------------------------------------------------------------------
+// Link
+//-----------------------------------------------------------------------------
+
+link_standin::link_standin(std::string targetUrl, std::uint16_t port)
+    : standin("link", port)
+    , m_targetUrl(std::move(targetUrl))
+{
+    listen();
+}
+
+link_standin::~link_standin()
+{
+    stopServing();
+}
+
+void link_standin::handle(const call_pointer &call)
+{
+    http_request request;
+    request.method = call->method();
+    request.url = m_targetUrl + call->path();
+    std::string query;
+    for (const char *name : {"from", "limit", "wait_ms"}) {
+        const std::string value = call->query(name);
+        query += value.empty() ? "" : (query.empty() ? "?" : "&") + std::string(name) + "=" + value;
+    }
+    request.url += query;
+    request.body = call->body();
+    loop().start(std::move(request), {{}, [this, call](http_result result) {
+                                          if (!result.completed()) {
+                                              call->cut();
+                                              return;
+                                          }
+                                          http_response response{result.status, std::move(result.body), "application/json", {}};
+                                          if (!result.verdictHeader.empty()) {
+                                              response.headers.emplace_back("Chestnutgw-Verdict", result.verdictHeader);
+                                          }
+                                          answer(call, std::move(response));
+                                      }});
+}
+
 }
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -169,6 +169,19 @@
     std::uint64_t m_total = 0;
 };
 
+// Link to another stand-in that can be cut, stalled or silenced by the common faults while the target stays up.
+class link_standin : public standin
+{
+public:
+    explicit link_standin(std::string targetUrl, std::uint16_t port = 0);
+    ~link_standin() override;
+
+private:
+    void handle(const call_pointer &call) override;
+
+    std::string m_targetUrl;
+};
+
 struct engine_standin_options
 {
     std::string name = "engine"; // server name as in the sheet
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -30,7 +30,12 @@
             engine.name = "s" + std::to_string(stage) + "-" + std::to_string(i);
             engine.layerMs = wanted.layerMs;
             const int share = wanted.layers / wanted.stages;
+            engine.maxLayers = share;
+            engine.checksFence = wanted.checksFence;
             engine.holdings = {{model_id{"m1"}, "v1", {stage * share, stage + 1 == wanted.stages ? wanted.layers : (stage + 1) * share}}};
+            if (wanted.controllers) {
+                engine.holdings.clear();
+            }
             engines.push_back(std::make_unique<engine_standin>(engine));
         }
     }
@@ -40,13 +45,41 @@
     for (int i = 0; i < wanted.entries; ++i) {
         startEntry("entry-" + std::to_string(i));
     }
+    if (wanted.controllers) {
+        startController("controller-0");
+        startController("controller-1");
+    }
+}
+
+child_process &cluster::startController(const std::string &name)
+{
+    controllers.push_back(std::make_unique<child_process>("chestnutgw-controller", std::vector<std::string>{"instance.name=" + name, "platform.log_url=" + log->url(), "backend.report_interval=100", "placement.interval=100",
+                                                                                                            "lease.term=900", "lease.renew_interval=200", "lease.order_lifetime=300", "log.level=error"}));
+    return *controllers.back();
+}
+
+void cluster::setEntryFaults(int entry, const nlohmann::json &faults) const
+{
+    if (!request("PUT", url(entry) + "/test/faults", faults.dump()).ok()) {
+        throw std::runtime_error("faults were not taken");
+    }
+}
+
+std::future<std::vector<http_result>> sendInBackground(std::vector<http_request> requests)
+{
+    return std::async(std::launch::async, [requests = std::move(requests)] { return requestAll(requests); });
 }
 
 child_process &cluster::startEntry(const std::string &name, const std::vector<std::string> &extra)
 {
+    std::string logUrl = log->url();
+    if (m_options.links) {
+        links.push_back(std::make_unique<link_standin>(log->url()));
+        logUrl = links.back()->url();
+    }
     std::vector<std::string> settings{"instance.name=" + name,
                                       "instance.failure_domain=" + domainName(static_cast<int>(entries.size()), m_options.domains),
-                                      "platform.log_url=" + log->url(),
+                                      "platform.log_url=" + logUrl,
                                       "backend.report_interval=100",
                                       "test.faults=yes",
                                       "log.level=error"};
@@ -94,7 +127,7 @@
         server.failureDomain = domainName(static_cast<int>(i), m_options.domains);
         server.address = engines[i]->address();
         server.accelerator = "standin";
-        server.checksFence = "yes";
+        server.checksFence = m_options.checksFence ? "yes" : "no";
         server.state = "active";
         rows.push_back(server);
     }
@@ -130,7 +163,7 @@
                 return false;
             }
             for (const auto &server : seen["servers"]) {
-                if (server["usable"] != true) {
+                if (server["usable"] != true || server["holds"].empty()) {
                     return false;
                 }
             }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -3,6 +3,7 @@
 #include "process.h"
 #include "standin/standin.h"
 
+#include <future>
 #include <map>
 
 namespace chestnut::test
@@ -25,6 +26,9 @@
         milliseconds retention{3'600'000};      // of the log
         milliseconds serviceTime{0};            // of the plain service
         double appendsPerSecond = 400;          // log's rate limit
+        bool links = false; // each instance reaches the log over a link of its own
+        bool controllers = false; // engines start empty and controllers place the model
+        bool checksFence = true; // engines refuse old fencing numbers
     };
 
     explicit cluster(const options &wanted);
@@ -33,6 +37,9 @@
     void publish();
     std::string sheet() const;
     child_process &startEntry(const std::string &name, const std::vector<std::string> &extra = {});
+    child_process &startController(const std::string &name);
+    // Posts faults to an instance's /test/faults.
+    void setEntryFaults(int entry, const nlohmann::json &faults) const;
     nlohmann::json status(int entry) const;
     // Sends a chat request through an instance.
     http_result chat(int entry, const std::string &prompt, int maxTokens, bool stream = false) const;
@@ -53,12 +60,17 @@
     std::unique_ptr<log_standin> log;
     std::vector<std::unique_ptr<engine_standin>> engines; // stage by stage
     std::vector<std::unique_ptr<service_standin>> services;
+    std::vector<std::unique_ptr<link_standin>> links; // to the log, by entry
     std::vector<std::unique_ptr<child_process>> entries;
+    std::vector<std::unique_ptr<child_process>> controllers;
 
 private:
     options m_options;
 };
 
+// Sends requests while the test goes on; get() waits for all answers.
+std::future<std::vector<http_result>> sendInBackground(std::vector<http_request> requests);
+
 // Text of an answer to a chat request, streamed or whole; empty unless it is complete.
 std::string answerText(const http_result &result);
 
--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr seconds HANG_LIMIT{90}; // nothing waits this long unless it hangs
+constexpr seconds HANG_LIMIT{30}; // nothing waits this long unless it hangs
 
 pid_t spawn(const std::string &program, const std::vector<std::string> &arguments, int output)
 {
