Dropping a transfer inside its own callback no longer ends the process

Ruled out: posting the cancellation to the loop, which would let one more event of the dropped attempt through. Change: a dropped transfer gets no further callback and is removed at the end of the loop's turn.

--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -47,6 +47,7 @@
     http_result result;            // being filled
     steady_time lastByte;          // time of the last received byte
     timer_id idleTimer = 0;        // watches request.idleTimeout
+    bool aborted = false; // no callback any more; removed at the end of the loop's turn
 
     ~transfer()
     {
@@ -66,6 +67,9 @@
 {
     auto *self = static_cast<transfer *>(user);
     const std::string_view piece(data, size * count);
+    if (self->aborted) {
+        return piece.size();
+    }
     self->lastByte = std::chrono::steady_clock::now();
     const long status = statusOf(self->easy);
     if (self->handler.onData && status >= 200 && status < 300) {
@@ -129,6 +133,7 @@
     void runTasks();
     void runTimers();
     void collectFinished();
+    void removeAborted();
     void watchIdle(transfer_id id);
     void setOptions(transfer &one);
 
@@ -144,6 +149,7 @@
     timer_id m_curlTimer = 0;
     bool m_curlDue = false;
     std::unordered_map<transfer_id, std::unique_ptr<transfer>> m_transfers;
+    std::vector<std::unique_ptr<transfer>> m_aborted;
     std::thread m_thread;
 };
 
@@ -174,6 +180,7 @@
     m_stopping = true;
     post([] {});
     m_thread.join();
+    removeAborted();
     for (auto &[id, one] : m_transfers) {
         curl_multi_remove_handle(m_multi, one->easy);
     }
@@ -287,16 +294,27 @@
     one.idleTimer = after(std::chrono::ceil<milliseconds>(deadline - now), [this, id] { watchIdle(id); });
 }
 
+// May be called inside a callback of the same transfer, where libcurl forbids its removal: that waits for the end of the
+// loop's turn.
 void event_loop::implementation::abort(transfer_id id)
 {
     const auto found = m_transfers.find(id);
     if (found == m_transfers.end()) {
         return;
     }
-    const std::unique_ptr<transfer> one = std::move(found->second);
+    cancel(found->second->idleTimer);
+    found->second->aborted = true;
+    m_aborted.push_back(std::move(found->second));
     m_transfers.erase(found);
-    cancel(one->idleTimer);
-    curl_multi_remove_handle(m_multi, one->easy);
+}
+
+void event_loop::implementation::removeAborted()
+{
+    const std::vector<std::unique_ptr<transfer>> aborted = std::move(m_aborted);
+    m_aborted.clear();
+    for (const auto &one : aborted) {
+        curl_multi_remove_handle(m_multi, one->easy);
+    }
 }
 
 void event_loop::implementation::finish(transfer_id id, CURLcode code)
@@ -448,6 +466,7 @@
             curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
         }
         collectFinished();
+        removeAborted();
     }
 }
 
