Admission by worth and deadline; capacity and goodput measurements

Cause: without admission every request entered the engines, and under overload all became late together. Change: one admission queue for each model version (pure, in src/core/admission.cpp): order by worth a token, among equals by the account's recent use for its weight, refusal as soon as the deadline cannot be met behind those that go first, with Retry-After from the backlog. Each live instance takes an equal share of the capacity that the servers report.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -54,7 +54,7 @@
 {
 
 constexpr milliseconds TICK{100};
-constexpr int SNAPSHOTS_PER_RETENTION = 4; // snapshots are renewed this often within the retention
+constexpr int SNAPSHOTS_PER_RETENTION = 4;    // snapshots are renewed this often within the retention
 constexpr milliseconds REPORT_LIFETIME{5000}; // an older report says nothing about now
 
 std::int64_t wallClockMs()
@@ -92,8 +92,14 @@
     , m_loop("controller")
     , m_log(plugin_registry<log_service, event_loop &, const std::string &>::instance().make(settings.logAdapter, m_loop, settings.logUrl))
     , m_engines(plugin_registry<engine_adapter, event_loop &>::instance().make(settings.engineAdapter, m_loop))
-    , m_configFollower(m_loop, *m_log, CONTROL_CONFIG_STREAM, {[this](const std::vector<log_entry> &entries) { takeConfig(entries); }, [this](log_offset) { m_fold = config_fold(); }, [this] { m_fold.startEmpty(); }, [](bool) {}})
-    , m_leaseFollower(m_loop, *m_log, LEASES_STREAM, {[this](const std::vector<log_entry> &entries) { takeLeases(entries); }, [](log_offset) {}, [] {}, [](bool reachable) { logLine(log_level::warning, reachable ? "log_reachable" : "log_unreachable", {{"stream", LEASES_STREAM}}); }})
+    , m_configFollower(m_loop, *m_log, CONTROL_CONFIG_STREAM,
+                       {[this](const std::vector<log_entry> &entries) { takeConfig(entries); }, [this](log_offset) { m_fold = config_fold(); },
+                        [this] { m_fold.startEmpty(); }, [](bool) {}})
+    , m_leaseFollower(m_loop, *m_log, LEASES_STREAM,
+                      {[this](const std::vector<log_entry> &entries) { takeLeases(entries); }, [](log_offset) {}, [] {},
+                       [](bool reachable) {
+                           logLine(log_level::warning, reachable ? "log_reachable" : "log_unreachable", {{"stream", LEASES_STREAM}});
+                       }})
     , m_leases(limitsOf(settings))
     , m_keeper(PLACEMENT_LEASE, m_holder, limitsOf(settings))
 {
@@ -165,7 +171,8 @@
     const bool holder = m_keeper.fence(now).has_value();
     if (holder != m_wasHolder) {
         m_wasHolder = holder;
-        logLine(log_level::info, holder ? "lease_acquired" : "lease_lost", {{"lease", PLACEMENT_LEASE}, {"fence", holder ? std::to_string(m_keeper.fence(now)->value) : ""}});
+        logLine(log_level::info, holder ? "lease_acquired" : "lease_lost",
+                {{"lease", PLACEMENT_LEASE}, {"fence", holder ? std::to_string(m_keeper.fence(now)->value) : ""}});
         m_nextPlan = now + m_settings.reportInterval; // reports first
     }
     m_counters.set("chestnutgw_controller_holder", holder ? 1 : 0);
@@ -285,7 +292,8 @@
     known.orderedAt = now;
     known.orderOpen = true;
     m_counters.count("chestnutgw_controller_orders_total");
-    logLine(log_level::info, "order", {{"server", move.server.text}, {"holds", describeHoldings(move.holdings)}, {"reason", move.reason}, {"fence", std::to_string(fence->value)}});
+    logLine(log_level::info, "order",
+            {{"server", move.server.text}, {"holds", describeHoldings(move.holdings)}, {"reason", move.reason}, {"fence", std::to_string(fence->value)}});
     appendNote(move.server.text + " holds " + describeHoldings(move.holdings) + ": " + move.reason);
     m_engines->order(row->second.address, {fence->value, move.holdings}, [this, id = move.server](order_status status) {
         if (status == order_status::done) {
@@ -349,7 +357,13 @@
     for (const placement_target &target : describeTargets()) {
         rates[target.model.text + "@" + target.version] = pipelineRate(servers, target.model, target.version, target.layers);
     }
-    return {{"instance", m_settings.name}, {"holder", lease == nullptr ? "" : lease->holder}, {"fence", lease == nullptr ? 0 : lease->fence.value}, {"is_holder", m_keeper.fence(now).has_value()}, {"config_offset", m_fold.applied().value}, {"tokens_per_second", rates}, {"decisions", notes}};
+    return {{"instance", m_settings.name},
+            {"holder", lease == nullptr ? "" : lease->holder},
+            {"fence", lease == nullptr ? 0 : lease->fence.value},
+            {"is_holder", m_keeper.fence(now).has_value()},
+            {"config_offset", m_fold.applied().value},
+            {"tokens_per_second", rates},
+            {"decisions", notes}};
 }
 
 void controller::handle(const std::shared_ptr<http_call> &call)
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -17,25 +17,26 @@
 constexpr const char *PLACEMENT_LEASE = "placement";
 
 // Settings of chestnutgw-controller.
-struct controller_settings {
-    std::string name = "controller-1"; // instance name, unique in the deployment
-    std::string failureDomain = "local"; // failure domain of this instance
-    std::string address = "127.0.0.1"; // IP number
-    int port = 0; // status and metrics over HTTP, 0 = any free one
-    std::string logAdapter = "http"; // plug-in for the log service
-    std::string logUrl; // log service
+struct controller_settings
+{
+    std::string name = "controller-1";    // instance name, unique in the deployment
+    std::string failureDomain = "local";  // failure domain of this instance
+    std::string address = "127.0.0.1";    // IP number
+    int port = 0;                         // status and metrics over HTTP, 0 = any free one
+    std::string logAdapter = "http";      // plug-in for the log service
+    std::string logUrl;                   // log service
     milliseconds logRetention{3'600'000}; // records are kept this long by the log service
     std::string engineAdapter = "stages"; // plug-in for engines
-    milliseconds reportInterval{1000}; // reports are fetched this often while the lease is held
-    milliseconds planInterval{500}; // placement is looked at this often while the lease is held
-    int maxLoads = 8; // servers that may load weights at the same time
-    milliseconds orderTimeout{15'000}; // an order not seen in the report by then is forgotten
-    int snapshotRecords = 200; // a snapshot is written after so many configuration records
-    milliseconds leaseTerm{4'000}; // a lease lasts this long after its last renewal
-    milliseconds renewInterval{1'000}; // renewals
-    milliseconds orderLifetime{3'000}; // longest time that a sent order may take effect
-    std::string logFormat = "text"; // text or json
-    std::string logLevel = "info"; // debug, info, warning or error
+    milliseconds reportInterval{1000};    // reports are fetched this often while the lease is held
+    milliseconds planInterval{500};       // placement is looked at this often while the lease is held
+    int maxLoads = 8;                     // servers that may load weights at the same time
+    milliseconds orderTimeout{15'000};    // an order not seen in the report by then is forgotten
+    int snapshotRecords = 200;            // a snapshot is written after so many configuration records
+    milliseconds leaseTerm{4'000};        // a lease lasts this long after its last renewal
+    milliseconds renewInterval{1'000};    // renewals
+    milliseconds orderLifetime{3'000};    // longest time that a sent order may take effect
+    std::string logFormat = "text";       // text or json
+    std::string logLevel = "info";        // debug, info, warning or error
 };
 
 void checkSettings(const controller_settings &settings);
@@ -57,10 +58,11 @@
 
 private:
     // What is known of one server beyond the sheet.
-    struct known_server {
+    struct known_server
+    {
         std::optional<server_report> report;
         steady_time reportedAt;
-        bool fetching = false; // a report is under way
+        bool fetching = false;        // a report is under way
         std::vector<holding> ordered; // last order, until the report shows it
         steady_time orderedAt;
         bool orderOpen = false;
@@ -94,9 +96,9 @@
     std::map<server_id, known_server> m_servers;
     steady_time m_nextReports;
     steady_time m_nextPlan;
-    log_offset m_snapshotAt; // applied offset of the last snapshot seen or written
+    log_offset m_snapshotAt;       // applied offset of the last snapshot seen or written
     std::int64_t m_snapshotMs = 0; // its time, wall clock
-    bool m_snapshotOpen = false; // an append is under way
+    bool m_snapshotOpen = false;   // an append is under way
     std::unique_ptr<http_server> m_server;
 };
 
--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,152 @@
+#include "core/chestnutgw.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr double EQUAL_DENSITY = 0.01; // worth per token that differs by less counts as equal
+constexpr double USE_HALF_LIFE_S = 5; // use counts half after this
+constexpr double REMAINING_SHARE = 0.5; // of a running request's tokens that are still to come, on average
+
+double density(const admission_request &request)
+{
+    return request.worth / std::max(1.0, request.tokens);
+}
+
+}
+
+void admission_queue::submit(const admission_request &request, steady_time now)
+{
+    if (m_capacity.tokensPerSecond <= 0) {
+        m_running.emplace(request.ticket, request);
+        m_admitted.push_back(request.ticket);
+        return;
+    }
+    m_waiting.push_back(request);
+    settle(now);
+}
+
+void admission_queue::abandon(admission_ticket ticket)
+{
+    std::erase_if(m_waiting, [ticket](const admission_request &one) { return one.ticket == ticket; });
+}
+
+void admission_queue::ended(admission_ticket ticket, steady_time now)
+{
+    m_running.erase(ticket);
+    settle(now);
+}
+
+// Time for an answer at the rate at which a full set of streams shares the servers.
+double admission_queue::answerSeconds(const admission_request &request) const
+{
+    return request.tokens * m_capacity.streams / m_capacity.tokensPerSecond;
+}
+
+bool admission_queue::goesBefore(const admission_request &left, const admission_request &right) const
+{
+    const double difference = density(left) - density(right);
+    if (std::abs(difference) > EQUAL_DENSITY * std::max(density(left), density(right))) {
+        return difference > 0;
+    }
+    const auto used = [this](const admission_request &one) {
+        const auto found = m_used.find(one.account);
+        return found == m_used.end() ? 0.0 : found->second;
+    };
+    if (used(left) != used(right)) {
+        return used(left) < used(right);
+    }
+    return left.ticket < right.ticket;
+}
+
+// Admits while there is room, then refuses whoever cannot make it any more behind those who go first.
+void admission_queue::settle(steady_time now)
+{
+    std::stable_sort(m_waiting.begin(), m_waiting.end(), [this](const admission_request &left, const admission_request &right) { return goesBefore(left, right); });
+    double aheadTokens = 0;
+    for (const auto &[ticket, one] : m_running) {
+        aheadTokens += one.tokens * REMAINING_SHARE;
+    }
+    // A request starts when a place is free: what is ahead of it beyond the places must be worked off first.
+    double places = m_capacity.streams - static_cast<double>(m_running.size());
+    std::vector<admission_request> left;
+    for (const admission_request &one : m_waiting) {
+        const double waitSeconds = places >= 1 ? 0 : aheadTokens / m_capacity.tokensPerSecond / std::max(1.0, m_capacity.streams) * std::max(1.0, 1 - places);
+        const bool late = now + fromSeconds(waitSeconds + answerSeconds(one)) > one.deadline;
+        if (late) {
+            m_refused.push_back(one.ticket);
+            continue;
+        }
+        if (places >= 1) {
+            m_running.emplace(one.ticket, one);
+            m_admitted.push_back(one.ticket);
+            charge(one, now);
+        } else {
+            left.push_back(one);
+        }
+        places -= 1;
+        aheadTokens += one.tokens;
+    }
+    m_waiting = std::move(left);
+}
+
+void admission_queue::charge(const admission_request &request, steady_time now)
+{
+    const double decay = std::exp2(-toSeconds(now - m_usedAt) / USE_HALF_LIFE_S);
+    for (auto &[account, used] : m_used) {
+        used *= decay;
+    }
+    m_usedAt = now;
+    m_used[request.account] += request.tokens / std::max(1e-9, request.weight);
+}
+
+std::vector<admission_ticket> admission_queue::takeAdmitted()
+{
+    return std::exchange(m_admitted, {});
+}
+
+std::vector<admission_ticket> admission_queue::takeRefused()
+{
+    return std::exchange(m_refused, {});
+}
+
+milliseconds admission_queue::backlog() const
+{
+    if (m_capacity.tokensPerSecond <= 0) {
+        return milliseconds(0);
+    }
+    double tokens = 0;
+    for (const auto &[ticket, one] : m_running) {
+        tokens += one.tokens * REMAINING_SHARE;
+    }
+    for (const admission_request &one : m_waiting) {
+        tokens += one.tokens;
+    }
+    return fromSeconds(tokens / m_capacity.tokensPerSecond);
+}
+
+admission_capacity admissionShare(const fleet &servers, const model_id &model, const std::string &version, int layers, int instances, steady_time now)
+{
+    std::vector<server_capacity> parts;
+    double slots = 0;
+    for (const auto &[id, server] : servers.servers) {
+        if (!server.unusable(now).empty()) {
+            continue;
+        }
+        for (const holding &one : server.report->holdings) {
+            if (one.model == model && one.version == version) {
+                parts.push_back({one.range, server.report->slots * 1000 / (server.report->layerMs * one.range.count())});
+                slots += server.report->slots;
+            }
+        }
+    }
+    const double rate = pipelineCapacity(parts, layers);
+    return {rate / std::max(1, instances), slots / std::max(1, instances)};
+}
+
+}
--- a/src/core/chestnutgw.h
+++ b/src/core/chestnutgw.h
@@ -18,6 +18,7 @@
 //   9. Reasons
 //  10. Leases
 //  11. Placement
+//  12. Admission
 
 #include "kernel/ids.h"
 #include "kernel/verdict.h"
@@ -636,13 +637,13 @@
     };
     struct waiting
     {
-        std::string key;                // claimed
-        std::string fingerprint;        // of the request
-        steady_time deadline;           // of the caller
-        stage at = stage::queued;       // where the ticket is
+        std::string key;                             // claimed
+        std::string fingerprint;                     // of the request
+        steady_time deadline;                        // of the caller
+        stage at = stage::queued;                    // where the ticket is
         std::map<std::string, steady_time> attempts; // all attempts tried for this ticket, by their birth
-        std::string winner;             // attempt that won, once dispatched
-        steady_time retryAt;            // stage unknown: next try
+        std::string winner;                          // attempt that won, once dispatched
+        steady_time retryAt;                         // stage unknown: next try
     };
 
     void decide(claim_ticket ticket, claim_decision::kind type, const claim_record *outcome = nullptr);
@@ -1003,4 +1004,75 @@
 // first layer they hold to the one after their last.
 double pipelineCapacity(const std::vector<server_capacity> &servers, int layers);
 
+//-----------------------------------------------------------------------------
+// 12. Admission
+//-----------------------------------------------------------------------------
+
+using admission_ticket = std::uint64_t; // one request's place, unique in a queue
+
+// A request for tokens as admission sees it.
+struct admission_request
+{
+    admission_ticket ticket = 0;
+    account_id account;
+    double weight = 1;    // of the account
+    double worth = 1;     // of the whole answer on time
+    double tokens = 1;    // expected cost
+    steady_time deadline; // of the whole answer
+};
+
+// What this instance may use of a model's servers.
+struct admission_capacity
+{
+    double tokensPerSecond = 0; // 0 = not known: everything is admitted
+    double streams = 0;         // concurrent requests that keep the servers busy
+};
+
+// Decides which requests for one model run now, wait or are refused. Under overload the requests with most worth for each
+// token go first; among equals the account that had least for its weight. A request that cannot meet its deadline behind
+// those before it is refused as soon as that is known.
+class admission_queue
+{
+public:
+    void setCapacity(const admission_capacity &capacity)
+    {
+        m_capacity = capacity;
+    }
+    // Takes a request in; its fate comes out of takeAdmitted() or takeRefused(), at once or later.
+    void submit(const admission_request &request, steady_time now);
+    // A caller no longer waits.
+    void abandon(admission_ticket ticket);
+    // An admitted request ended.
+    void ended(admission_ticket ticket, steady_time now);
+    std::vector<admission_ticket> takeAdmitted();
+    std::vector<admission_ticket> takeRefused();
+    // Time until the present backlog is worked off.
+    milliseconds backlog() const;
+    std::size_t waiting() const
+    {
+        return m_waiting.size();
+    }
+    std::size_t running() const
+    {
+        return m_running.size();
+    }
+
+private:
+    double answerSeconds(const admission_request &request) const;
+    bool goesBefore(const admission_request &left, const admission_request &right) const;
+    void settle(steady_time now);
+    void charge(const admission_request &request, steady_time now);
+
+    admission_capacity m_capacity;
+    std::vector<admission_request> m_waiting; // in order of arrival
+    std::map<admission_ticket, admission_request> m_running;
+    std::map<account_id, double> m_used; // tokens admitted lately, by weight
+    steady_time m_usedAt;                // time to which m_used has decayed
+    std::vector<admission_ticket> m_admitted;
+    std::vector<admission_ticket> m_refused;
+};
+
+// Capacity of the usable servers for a model version, for one of so many equal instances.
+admission_capacity admissionShare(const fleet &servers, const model_id &model, const std::string &version, int layers, int instances, steady_time now);
+
 }
--- a/src/core/flow.cpp
+++ b/src/core/flow.cpp
@@ -12,7 +12,8 @@
 constexpr double NEGLIGIBLE = 1e-9; // tokens a second
 
 // Edge of the flow network with its reverse.
-struct flow_edge {
+struct flow_edge
+{
     int from;
     int to;
     double free; // capacity left
--- a/src/core/lease.cpp
+++ b/src/core/lease.cpp
@@ -19,7 +19,9 @@
 
 std::string encodeLease(const lease_record &record)
 {
-    return nlohmann::json{{"t", KIND_NAMES[static_cast<int>(record.type)]}, {"n", record.name}, {"h", record.holder}, {"f", record.fence.value}, {"x", record.text}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return nlohmann::json{
+        {"t", KIND_NAMES[static_cast<int>(record.type)]}, {"n", record.name}, {"h", record.holder}, {"f", record.fence.value}, {"x", record.text}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 lease_record decodeLease(std::string_view text)
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -64,7 +64,8 @@
     const std::vector<holding> parts = partsOf(servers, target);
     const std::set<int> fromStart = reachable(parts, 0, true);
     const std::set<int> fromEnd = reachable(parts, target.layers, false);
-    return std::any_of(server.holdings.begin(), server.holdings.end(), [&](const holding &one) { return isPart(one, target) && fromStart.contains(one.range.first) && fromEnd.contains(one.range.last); });
+    return std::any_of(server.holdings.begin(), server.holdings.end(),
+                       [&](const holding &one) { return isPart(one, target) && fromStart.contains(one.range.first) && fromEnd.contains(one.range.last); });
 }
 
 std::vector<server_id> findFree(const std::vector<placement_server> &servers, const std::vector<placement_target> &targets)
@@ -87,7 +88,8 @@
 //-----------------------------------------------------------------------------
 
 // The plan works on a copy of the servers in which each move has already happened.
-struct planner {
+struct planner
+{
     std::vector<placement_server> servers;
     const std::vector<placement_target> &targets;
     std::set<server_id> free; // may be given anything
@@ -122,7 +124,8 @@
             list.push_back(one);
         }
     }
-    std::stable_sort(list.begin(), list.end(), [](const placement_server &left, const placement_server &right) { return stageMs(left, 1) < stageMs(right, 1); });
+    std::stable_sort(list.begin(), list.end(),
+                     [](const placement_server &left, const placement_server &right) { return stageMs(left, 1) < stageMs(right, 1); });
     return list;
 }
 
@@ -288,7 +291,8 @@
         if (room >= target.layers) {
             break;
         }
-        const bool holds = one.available && !one.loading && std::any_of(one.holdings.begin(), one.holdings.end(), [&](const holding &part) { return isPart(part, *donor); });
+        const bool holds
+            = one.available && !one.loading && std::any_of(one.holdings.begin(), one.holdings.end(), [&](const holding &part) { return isPart(part, *donor); });
         if (!holds) {
             continue;
         }
@@ -388,7 +392,8 @@
         if (target == nullptr) {
             break;
         }
-        const bool placed = fillGap(plan, *target) || addPipeline(plan, *target) || (plan.rate(*target) <= 0 && takeFromRichest(plan, *target)) || addSpare(plan, *target);
+        const bool placed
+            = fillGap(plan, *target) || addPipeline(plan, *target) || (plan.rate(*target) <= 0 && takeFromRichest(plan, *target)) || addSpare(plan, *target);
         if (!placed) {
             satisfied.insert(target); // nothing more can be done for it now
         }
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -5,7 +5,7 @@
 namespace chestnut
 {
 
-const setting_row<entry_settings> ENTRY_SETTINGS[32] = {
+const setting_row<entry_settings> ENTRY_SETTINGS[33] = {
     {"instance.name", &entry_settings::name, 1, 100, "text", "instance name, unique in the deployment"},
     {"instance.failure_domain", &entry_settings::failureDomain, 1, 100, "text", "failure domain of this instance"},
     {"instance.address", &entry_settings::address, 7, 15, "IP number", "address that callers and peers reach"},
@@ -29,6 +29,7 @@
     {"backend.max_attempts", &entry_settings::maxAttempts, 1, 100, "attempts", "chains tried for one request"},
     {"backend.retry_share", &entry_settings::retryShare, 0, 10, "retries per request", "retry budget"},
     {"routing.policy", &entry_settings::routingPolicy, 1, 50, "plug-in", "predicted, least_outstanding, round_robin or random"},
+    {"routing.admission", &entry_settings::admission, 0, 1, "yes/no", "refuse what cannot meet its deadline; no = admit everything"},
     {"routing.seed", &entry_settings::seed, 0, 2e9, "number", "seed of random choices"},
     {"routing.default_deadline", &entry_settings::defaultDeadline, 10, 1e9, "ms", "for accounts without one"},
     {"claims.key_window", &entry_settings::keyWindow, 1000, 1e12, "ms", "idempotency keys are remembered this long"},
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -34,6 +34,7 @@
     milliseconds tokenTimeout{1'000};        // longest silence between tokens; shorter for fast streams
     int maxAttempts = 8;                     // chains tried for one request
     double retryShare = 0.2;                 // retries per first attempt
+    bool admission = true;                   // refuse what cannot meet its deadline; off = admit everything, as a baseline
     int seed = 1;                            // of random choices
 
     milliseconds keyWindow{600'000};      // idempotency keys are remembered this long
@@ -50,6 +51,6 @@
 // Parses nothing but checks what one setting alone cannot show. Throws settings_error.
 void checkSettings(const entry_settings &settings);
 
-extern const setting_row<entry_settings> ENTRY_SETTINGS[32];
+extern const setting_row<entry_settings> ENTRY_SETTINGS[33];
 
 }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -138,9 +138,32 @@
         self.claimsOffset = m_claims.desk().table().applied();
         self.leaving = m_shared.leaving;
         self.streams = m_shared.inFlight;
+        shareCapacity();
         m_control.after(SELF_REFRESH, [this] { refreshSelf(); });
     }
 
+    // Each live instance may use an equal share of the servers.
+    void shareCapacity()
+    {
+        const steady_time now = std::chrono::steady_clock::now();
+        const auto instances = static_cast<int>(m_members.alive(now).size());
+        const std::shared_ptr<const deployment> current = m_shared.current.load();
+        for (const std::string &queue : m_shared.admission.models()) {
+            const auto at = queue.find('@');
+            const model_id model{queue.substr(0, at)};
+            const auto layers = current->layers.find(model);
+            if (layers == current->layers.end()) {
+                continue;
+            }
+            admission_capacity share = m_shared.servers.with(
+                [&](const fleet &servers) { return admissionShare(servers, model, queue.substr(at + 1), layers->second, instances, now); });
+            if (!m_shared.settings.admission) {
+                share = {};
+            }
+            m_shared.admission.setCapacity(queue, share);
+        }
+    }
+
     bool busy()
     {
         std::size_t unsettled = 0;
--- a/src/entry/pipeline_driver.cpp
+++ b/src/entry/pipeline_driver.cpp
@@ -50,6 +50,8 @@
     bool dispatched = false;                   // any attempt reached an engine
     bool headSent = false;                     // streaming has begun
     bool closed = false;                       // the caller has its last byte
+    std::string queue;                         // admission queue, model@version
+    admission_ticket ticket = 0;               // place in it
     steady_time started;
     steady_time deadline;
     steady_time attemptAt;  // start of the current attempt
@@ -106,13 +108,33 @@
         return;
     }
     self->session = std::make_unique<pipeline_session>(self->id, layers->second, version, self->request.maxTokens);
-    {
-        const std::lock_guard lock(m_shared.budgetMutex);
-        m_shared.budget.recordFirstAttempt();
-    }
-    m_shared.decisions.record(self->id, decision_reason::admitted,
-                              "account=" + self->account.id.text + " model=" + self->request.modelName.text + "@" + version);
-    beginAttempt(self);
+    askAdmission(self);
+}
+
+void pipeline_driver::askAdmission(const run_pointer &self)
+{
+    self->queue = self->request.modelName.text + "@" + self->session->version();
+    admission_request wanted;
+    wanted.account = self->account.id;
+    wanted.weight = self->account.weight;
+    wanted.worth = self->account.worth;
+    wanted.tokens = self->request.maxTokens;
+    wanted.deadline = self->deadline;
+    const auto decided = [this, self](bool admitted, milliseconds retryAfter) {
+        m_loop.post([this, self, admitted, retryAfter] {
+            if (!admitted) {
+                refuse(self, 503, decision_reason::refused_overload, "the deadline cannot be met behind the requests that go first", retryAfter);
+                return;
+            }
+            {
+                const std::lock_guard lock(m_shared.budgetMutex);
+                m_shared.budget.recordFirstAttempt();
+            }
+            m_shared.decisions.record(self->id, decision_reason::admitted, "account=" + self->account.id.text + " model=" + self->queue);
+            beginAttempt(self);
+        });
+    };
+    self->ticket = m_shared.admission.submit(self->queue, wanted, decided);
 }
 
 //-----------------------------------------------------------------------------
@@ -430,6 +452,9 @@
     self->closed = true;
     m_loop.cancel(self->progressTimer);
     m_loop.cancel(self->waitTimer);
+    if (self->ticket != 0) {
+        m_shared.admission.ended(self->queue, self->ticket);
+    }
     --m_shared.inFlight;
 }
 
--- a/src/entry/pipeline_driver.h
+++ b/src/entry/pipeline_driver.h
@@ -24,6 +24,7 @@
     using run_pointer = std::shared_ptr<run>;
 
     void admit(const run_pointer &self);
+    void askAdmission(const run_pointer &self);
     void beginAttempt(const run_pointer &self);
     void waitForChain(const run_pointer &self);
     void handleToken(const run_pointer &self, const token_event &event, const std::vector<stage_timing> &timings);
--- a/src/entry/shared_state.h
+++ b/src/entry/shared_state.h
@@ -2,6 +2,7 @@
 
 #include "core/chestnutgw.h"
 #include "entry/entry_settings.h"
+#include "entry/shared_admission.h"
 #include "kernel/metrics.h"
 #include "kernel/sharded.h"
 
@@ -81,13 +82,14 @@
     metrics counters;
     decision_log decisions;
     shared_fleet servers;
+    shared_admission admission;
     std::atomic<std::shared_ptr<const deployment>> current; // configuration in force
     std::atomic<bool> leaving = false;                      // shuts down: no new work
     std::atomic<int> inFlight = 0;                          // requests being answered
     std::atomic<std::uint64_t> nextRequest = 1;
     std::atomic<int> testHoldDispatchMs = 0; // fault for tests: pause between a won claim and the check before its send
-    std::atomic<int> testHoldSendMs = 0; // fault for tests: pause between that check and the send
-    std::mutex budgetMutex; // guards budget
+    std::atomic<int> testHoldSendMs = 0;     // fault for tests: pause between that check and the send
+    std::mutex budgetMutex;                  // guards budget
     retry_budget budget;
 
     // A new id, unique over instances and restarts.
--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -47,7 +47,7 @@
     http_result result;            // being filled
     steady_time lastByte;          // time of the last received byte
     timer_id idleTimer = 0;        // watches request.idleTimeout
-    bool aborted = false; // no callback any more; removed at the end of the loop's turn
+    bool aborted = false;          // no callback any more; removed at the end of the loop's turn
 
     ~transfer()
     {
--- a/src/load/bound.cpp
+++ b/src/load/bound.cpp
@@ -7,7 +7,8 @@
 
 goodput_bound bestGoodput(std::vector<offered_request> requests, const std::map<std::string, double> &capacityTokens)
 {
-    std::stable_sort(requests.begin(), requests.end(), [](const offered_request &left, const offered_request &right) { return left.worth * right.tokens > right.worth * left.tokens; });
+    std::stable_sort(requests.begin(), requests.end(),
+                     [](const offered_request &left, const offered_request &right) { return left.worth * right.tokens > right.worth * left.tokens; });
     std::map<std::string, double> left = capacityTokens;
     goodput_bound bound;
     for (const offered_request &one : requests) {
--- a/src/load/bound.h
+++ b/src/load/bound.h
@@ -8,16 +8,18 @@
 {
 
 // One offered request as the bound sees it.
-struct offered_request {
+struct offered_request
+{
     std::string model;
-    double worth = 0; // if answered on time
+    double worth = 0;  // if answered on time
     double tokens = 0; // cost in tokens at each stage, prompt included
     std::string account;
 };
 
 // What the best router delivers.
-struct goodput_bound {
-    double worth = 0; // over the whole run
+struct goodput_bound
+{
+    double worth = 0;                             // over the whole run
     std::map<std::string, double> worthByAccount; // the same, for each account
 };
 
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,7 +1,8 @@
-// chestnutgw-load: load and experiment tool. Commands: run (default), report, oracle.
+// chestnutgw-load: load and experiment tool. Without a command it runs a load; see COMMANDS for the others.
 
 #include "caller/chat_api.h"
 #include "load/report.h"
+#include "load/scale.h"
 #include "standin/oracle.h"
 
 #include <fstream>
@@ -67,15 +68,33 @@
     return 0;
 }
 
+int scale(const std::vector<std::string> &)
+{
+    return measureScale();
+}
+
+struct named_command
+{
+    const char *name;
+    int (*run)(const std::vector<std::string> &words);
+};
+
+constexpr named_command COMMANDS[] = {
+    {"report", report}, {"oracle", oracle}, {"publications", measurePublications}, {"submissions", measureSubmissions}, {"scale", scale},
+};
+
 }
 
 int main(int argc, char **argv)
 {
     chestnut::blockTerminationSignals();
     const std::string command = argc > 1 ? argv[1] : "";
-    if (command == "report" || command == "oracle") {
+    for (const auto &[name, commandFunction] : COMMANDS) {
+        if (command != name) {
+            continue;
+        }
         try {
-            return command == "report" ? report({argv + 2, argv + argc}) : oracle({argv + 2, argv + argc});
+            return commandFunction({argv + 2, argv + argc});
         } catch (const std::exception &problem) {
             chestnut::printError(problem.what());
             return 1;
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -14,7 +14,7 @@
 
 using json = nlohmann::json;
 
-constexpr double STEP_MS = 500; // width of one point in time series
+constexpr double STEP_MS = 500;          // width of one point in time series
 constexpr double RECOVERED_SHARE = 0.95; // of the bound: goodput counts as back
 
 double percentile(std::vector<double> values, double share)
@@ -29,7 +29,11 @@
 
 json percentiles(const std::vector<double> &values)
 {
-    return json{{"count", values.size()}, {"p50", percentile(values, 0.5)}, {"p95", percentile(values, 0.95)}, {"p99", percentile(values, 0.99)}, {"max", percentile(values, 1)}};
+    return json{{"count", values.size()},
+                {"p50", percentile(values, 0.5)},
+                {"p95", percentile(values, 0.95)},
+                {"p99", percentile(values, 0.99)},
+                {"max", percentile(values, 1)}};
 }
 
 bool counted(const run_result &result, const load_record &record)
@@ -39,7 +43,8 @@
 
 bool onTime(const load_settings &settings, const load_record &record)
 {
-    const bool soonEnough = settings.firstTokenLimit.count() == 0 || (record.firstTokenMs >= 0 && record.firstTokenMs <= static_cast<double>(settings.firstTokenLimit.count()));
+    const bool soonEnough
+        = settings.firstTokenLimit.count() == 0 || (record.firstTokenMs >= 0 && record.firstTokenMs <= static_cast<double>(settings.firstTokenLimit.count()));
     return record.whole && soonEnough && record.endMs <= static_cast<double>(settings.deadline.count());
 }
 
@@ -119,7 +124,13 @@
             }
         }
         const auto best = bound.worthByAccount.find(account.name);
-        list.push_back({{"account", account.name}, {"offered", offered}, {"on_time", good}, {"refused", refused}, {"worth", worth}, {"bound", best == bound.worthByAccount.end() ? 0 : best->second}, {"first_token_ms", percentiles(firstToken)},
+        list.push_back({{"account", account.name},
+                        {"offered", offered},
+                        {"on_time", good},
+                        {"refused", refused},
+                        {"worth", worth},
+                        {"bound", best == bound.worthByAccount.end() ? 0 : best->second},
+                        {"first_token_ms", percentiles(firstToken)},
                         {"answer_ms", percentiles(whole)}});
     }
     return list;
@@ -250,20 +261,23 @@
 std::string formatSummary(const json &summary)
 {
     std::ostringstream out;
-    out << summary["label"].get<std::string>() << ": offered " << summary["offered"] << ", on time " << summary["on_time"] << ", late " << summary["late"] << ", refused " << summary["refused"] << ", cut " << summary["cut"] << ", wrong "
-        << summary["wrong"] << "\n";
-    out << "  goodput " << number(summary["goodput"], 2) << " worth/s, bound " << number(summary["bound"], 2) << " worth/s, ratio " << number(summary["ratio"], 3) << ", tokens/s " << number(summary["tokens_per_second"]) << "\n";
+    out << summary["label"].get<std::string>() << ": offered " << summary["offered"] << ", on time " << summary["on_time"] << ", late " << summary["late"]
+        << ", refused " << summary["refused"] << ", cut " << summary["cut"] << ", wrong " << summary["wrong"] << "\n";
+    out << "  goodput " << number(summary["goodput"], 2) << " worth/s, bound " << number(summary["bound"], 2) << " worth/s, ratio "
+        << number(summary["ratio"], 3) << ", tokens/s " << number(summary["tokens_per_second"]) << "\n";
     for (const char *name : {"first_token_ms", "token_interval_ms", "refusal_ms"}) {
         const json &one = summary[name];
-        out << "  " << name << " p50 " << number(one["p50"]) << " p95 " << number(one["p95"]) << " p99 " << number(one["p99"]) << " max " << number(one["max"]) << "\n";
+        out << "  " << name << " p50 " << number(one["p50"]) << " p95 " << number(one["p95"]) << " p99 " << number(one["p99"]) << " max " << number(one["max"])
+            << "\n";
     }
     for (const json &one : summary["accounts"]) {
-        out << "  account " << one["account"].get<std::string>() << ": offered " << one["offered"] << ", on time " << one["on_time"] << ", refused " << one["refused"] << ", worth " << number(one["worth"]) << " of " << number(one["bound"])
-            << ", answer p50 " << number(one["answer_ms"]["p50"]) << " p99 " << number(one["answer_ms"]["p99"]) << " ms\n";
+        out << "  account " << one["account"].get<std::string>() << ": offered " << one["offered"] << ", on time " << one["on_time"] << ", refused "
+            << one["refused"] << ", worth " << number(one["worth"]) << " of " << number(one["bound"]) << ", answer p50 " << number(one["answer_ms"]["p50"])
+            << " p99 " << number(one["answer_ms"]["p99"]) << " ms\n";
     }
     for (const json &one : summary["recoveries"]) {
-        out << "  fault at " << number(one["at_ms"], 0) << " ms (" << one["url"].get<std::string>() << " " << one["body"].get<std::string>() << "): back at 95% of the bound after " << (one["recovery_ms"].is_null() ? "never" : number(one["recovery_ms"], 0))
-            << " ms\n";
+        out << "  fault at " << number(one["at_ms"], 0) << " ms (" << one["url"].get<std::string>() << " " << one["body"].get<std::string>()
+            << "): back at 95% of the bound after " << (one["recovery_ms"].is_null() ? "never" : number(one["recovery_ms"], 0)) << " ms\n";
     }
     return out.str();
 }
@@ -273,8 +287,9 @@
     std::ostringstream out;
     out << "arrival_ms,account,status,whole,wrong,cut,tokens,first_token_ms,end_ms,tries,verdict,retry_after_ms\n";
     for (const load_record &one : result.records) {
-        out << number(one.arrivalMs) << ',' << result.accounts[one.account].name << ',' << one.status << ',' << one.whole << ',' << one.wrong << ',' << one.cut << ',' << one.tokens << ',' << number(one.firstTokenMs) << ',' << number(one.endMs) << ','
-            << one.tries << ',' << one.verdictText << ',' << number(one.retryAfterMs, 0) << '\n';
+        out << number(one.arrivalMs) << ',' << result.accounts[one.account].name << ',' << one.status << ',' << one.whole << ',' << one.wrong << ',' << one.cut
+            << ',' << one.tokens << ',' << number(one.firstTokenMs) << ',' << number(one.endMs) << ',' << one.tries << ',' << one.verdictText << ','
+            << number(one.retryAfterMs, 0) << '\n';
     }
     return out.str();
 }
@@ -341,7 +356,8 @@
         out << "<line x1='" << number(x) << "' x2='" << number(x) << "' y1='20' y2='" << PLOT_HEIGHT - MARGIN << "' stroke='#c02020' stroke-dasharray='4'/>";
         out << "<text x='" << number(x + 4) << "' y='30' font-size='11' fill='#c02020'>" << escaped(fault["body"].get<std::string>()) << "</text>";
     }
-    out << "<text x='" << MARGIN << "' y='" << PLOT_HEIGHT - 15 << "' font-size='12'>0 to " << number(spanMs / 1000) << " s; worth in each half second: grey bound (up to " << number(highest) << "), blue delivered on time</text></svg>";
+    out << "<text x='" << MARGIN << "' y='" << PLOT_HEIGHT - 15 << "' font-size='12'>0 to " << number(spanMs / 1000)
+        << " s; worth in each half second: grey bound (up to " << number(highest) << "), blue delivered on time</text></svg>";
     return out.str();
 }
 
@@ -350,7 +366,8 @@
     std::ostringstream out;
     out << "<table><tr><th>account<th>offered<th>on time<th>refused<th>worth<th>bound<th>first token p50/p95/p99 ms<th>answer p50/p95/p99 ms</tr>";
     for (const json &one : summary["accounts"]) {
-        out << "<tr><td>" << escaped(one["account"].get<std::string>()) << "<td>" << one["offered"] << "<td>" << one["on_time"] << "<td>" << one["refused"] << "<td>" << number(one["worth"]) << "<td>" << number(one["bound"]);
+        out << "<tr><td>" << escaped(one["account"].get<std::string>()) << "<td>" << one["offered"] << "<td>" << one["on_time"] << "<td>" << one["refused"]
+            << "<td>" << number(one["worth"]) << "<td>" << number(one["bound"]);
         for (const char *name : {"first_token_ms", "answer_ms"}) {
             const json &times = one[name];
             out << "<td>" << number(times["p50"]) << " / " << number(times["p95"]) << " / " << number(times["p99"]);
@@ -366,9 +383,11 @@
 std::string formatHtml(const std::vector<json> &summaries)
 {
     std::ostringstream out;
-    out << "<!doctype html><meta charset='utf-8'><title>chestnutgw load report</title><style>body{font-family:sans-serif;margin:2em}td,th{padding:2px 10px;text-align:right}td:first-child{text-align:left}</style><h1>chestnutgw load report</h1>";
+    out << "<!doctype html><meta charset='utf-8'><title>chestnutgw load report</title><style>body{font-family:sans-serif;margin:2em}td,th{padding:2px "
+           "10px;text-align:right}td:first-child{text-align:left}</style><h1>chestnutgw load report</h1>";
     for (const json &summary : summaries) {
-        out << "<h2>" << escaped(summary["label"].get<std::string>()) << "</h2><pre>" << escaped(formatSummary(summary)) << "</pre>" << goodputPlot(summary) << accountBars(summary);
+        out << "<h2>" << escaped(summary["label"].get<std::string>()) << "</h2><pre>" << escaped(formatSummary(summary)) << "</pre>" << goodputPlot(summary)
+            << accountBars(summary);
     }
     return out.str();
 }
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -21,9 +21,9 @@
 
 using json = nlohmann::json;
 
-constexpr std::size_t LOOPS = 2; // that send requests
+constexpr std::size_t LOOPS = 2;           // that send requests
 constexpr milliseconds CAPACITY_STEP{250}; // between looks at the servers
-constexpr milliseconds GRACE{10'000}; // after the deadline, for answers that are late
+constexpr milliseconds GRACE{10'000};      // after the deadline, for answers that are late
 
 //-----------------------------------------------------------------------------
 // Facts about the deployment
@@ -77,7 +77,8 @@
     return accounts.size() - 1;
 }
 
-std::vector<load_record> planArrivals(const load_settings &settings, const std::vector<load_account> &accounts, const std::map<std::string, model_facts> &models)
+std::vector<load_record> planArrivals(const load_settings &settings, const std::vector<load_account> &accounts,
+                                      const std::map<std::string, model_facts> &models)
 {
     pcg32 random(static_cast<std::uint64_t>(settings.seed));
     std::vector<load_record> records;
@@ -155,10 +156,11 @@
     }
 
 private:
-    struct receiving {
+    struct receiving
+    {
         event_stream_decoder decoder;
         bool finished = false; // a finish reason came
-        bool ended = false; // the end mark came
+        bool ended = false;    // the end mark came
     };
 
     void send(event_loop &loop, std::size_t index)
@@ -175,11 +177,19 @@
         http_request request;
         request.method = "POST";
         request.url = "http://" + m_entries[(index + static_cast<std::size_t>(record.tries - 1)) % m_entries.size()] + "/v1/chat/completions";
-        request.headers = {"Authorization: Bearer " + account.key, "Content-Type: application/json", "Chestnutgw-Deadline-Ms: " + std::to_string(m_settings.deadline.count())};
-        request.body = json{{"model", account.model}, {"messages", {{{"role", "user"}, {"content", record.prompt}}}}, {"max_tokens", account.maxTokens}, {"stream", true}}.dump();
+        request.headers = {"Authorization: Bearer " + account.key, "Content-Type: application/json",
+                           "Chestnutgw-Deadline-Ms: " + std::to_string(m_settings.deadline.count())};
+        request.body = json{
+            {"model", account.model},
+            {"messages", {{{"role", "user"}, {"content", record.prompt}}}},
+            {"max_tokens", account.maxTokens},
+            {"stream",
+             true}}.dump();
         request.totalTimeout = m_settings.deadline + GRACE;
         const auto state = std::make_shared<receiving>();
-        loop.start(std::move(request), {[this, index, state](int, std::string_view piece) { receive(index, *state, piece); }, [this, &loop, index, state](const http_result &result) { finish(loop, index, *state, result); }});
+        loop.start(std::move(request),
+                   {[this, index, state](int, std::string_view piece) { receive(index, *state, piece); },
+                    [this, &loop, index, state](const http_result &result) { finish(loop, index, *state, result); }});
     }
 
     // The same request straight to the first engine of a fixed chain, for comparison.
@@ -205,7 +215,10 @@
                 m_done.set_value();
             }
         };
-        m_engines[index % LOOPS]->generate(request, {[this, index](const token_event &token, const std::vector<stage_timing> &) { take(index, token.text); }, [end](attempt_number, int, const std::string &) { end(true, 200); }, [end](const engine_failure &) { end(false, 0); }});
+        m_engines[index % LOOPS]->generate(request,
+                                           {[this, index](const token_event &token, const std::vector<stage_timing> &) { take(index, token.text); },
+                                            [end](attempt_number, int, const std::string &) { end(true, 200); },
+                                            [end](const engine_failure &) { end(false, 0); }});
     }
 
     void take(std::size_t index, const std::string &text)
@@ -248,7 +261,8 @@
         record.wrong = (complete && !record.whole) || !record.expectedText.starts_with(record.text);
         record.cut = !complete && record.tokens > 0;
         record.endMs = nowMs() - record.arrivalMs;
-        const bool comesBack = m_settings.retryRefused && !complete && record.tokens == 0 && record.tries == 1 && record.retryAfterMs > 0 && record.endMs + record.retryAfterMs < static_cast<double>(m_settings.deadline.count());
+        const bool comesBack = m_settings.retryRefused && !complete && record.tokens == 0 && record.tries == 1 && record.retryAfterMs > 0
+            && record.endMs + record.retryAfterMs < static_cast<double>(m_settings.deadline.count());
         if (comesBack) {
             loop.after(microseconds(static_cast<std::int64_t>(record.retryAfterMs * 1000)), [this, &loop, index] { send(loop, index); });
             return;
@@ -297,7 +311,8 @@
     }
 
 private:
-    struct round {
+    struct round
+    {
         capacity_sample sample;
         std::map<std::string, std::vector<server_capacity>> byModel;
         std::size_t left = 0;
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,71 @@
+// Admission, with time passed in.
+
+#include "core/chestnutgw.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chestnut;
+
+namespace
+{
+
+const steady_time NOW = steady_time(seconds(1000));
+
+admission_request wanted(admission_ticket ticket, const std::string &account, double worth, milliseconds deadline = milliseconds(60'000))
+{
+    return {ticket, account_id{account}, 1, worth, 100, NOW + deadline};
+}
+
+}
+
+TEST_CASE("requests run while there is room and wait in order of worth when there is none", "[unit]")
+{
+    admission_queue queue;
+    queue.setCapacity({100, 1});
+    queue.submit(wanted(1, "a", 1), NOW);
+    queue.submit(wanted(2, "b", 1), NOW);
+    queue.submit(wanted(3, "c", 5), NOW);
+    CHECK(queue.takeAdmitted() == std::vector<admission_ticket>{1});
+    CHECK(queue.waiting() == 2);
+    queue.ended(1, NOW);
+    CHECK(queue.takeAdmitted() == std::vector<admission_ticket>{3});
+    queue.ended(3, NOW);
+    CHECK(queue.takeAdmitted() == std::vector<admission_ticket>{2});
+}
+
+TEST_CASE("a request that cannot meet its deadline is refused at once", "[unit]")
+{
+    admission_queue queue;
+    queue.setCapacity({100, 1}); // an answer of 100 tokens takes 1 s
+    queue.submit(wanted(1, "a", 1), NOW);
+    queue.submit(wanted(2, "b", 1, milliseconds(1200)), NOW);
+    CHECK(queue.takeRefused() == std::vector<admission_ticket>{2});
+    CHECK(queue.backlog() > milliseconds(0));
+    queue.submit(wanted(3, "b", 1, milliseconds(500)), NOW);
+    CHECK(queue.takeRefused() == std::vector<admission_ticket>{3});
+}
+
+TEST_CASE("a worthier request displaces one that then cannot make it, which is told at once", "[unit]")
+{
+    admission_queue queue;
+    queue.setCapacity({100, 1});
+    queue.submit(wanted(1, "a", 1), NOW);
+    queue.submit(wanted(2, "b", 1, milliseconds(2000)), NOW);
+    CHECK(queue.takeRefused().empty());
+    queue.submit(wanted(3, "c", 9, milliseconds(5000)), NOW);
+    CHECK(queue.takeRefused() == std::vector<admission_ticket>{2});
+    CHECK(queue.waiting() == 1);
+}
+
+TEST_CASE("among equals the account that had least for its weight goes first", "[unit]")
+{
+    admission_queue queue;
+    queue.setCapacity({100, 2});
+    for (admission_ticket i = 1; i <= 12; ++i) {
+        queue.submit(wanted(i, "large", 1), NOW);
+    }
+    queue.submit(wanted(20, "small", 1), NOW);
+    queue.takeAdmitted();
+    queue.ended(1, NOW);
+    CHECK(queue.takeAdmitted() == std::vector<admission_ticket>{20});
+}
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -26,9 +26,9 @@
         milliseconds retention{3'600'000};      // of the log
         milliseconds serviceTime{0};            // of the plain service
         double appendsPerSecond = 400;          // log's rate limit
-        bool links = false; // each instance reaches the log over a link of its own
-        bool controllers = false; // engines start empty and controllers place the model
-        bool checksFence = true; // engines refuse old fencing numbers
+        bool links = false;                     // each instance reaches the log over a link of its own
+        bool controllers = false;               // engines start empty and controllers place the model
+        bool checksFence = true;                // engines refuse old fencing numbers
     };
 
     explicit cluster(const options &wanted);
