--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -9,10 +9,12 @@
 namespace
 {
 
-constexpr double EQUAL_DENSITY = 0.01; // worth per token that differs by less counts as equal
-constexpr double USE_HALF_LIFE_S = 5; // use counts half after this
+constexpr double EQUAL_DENSITY = 0.01;  // worth per token that differs by less counts as equal
+constexpr double USE_HALF_LIFE_S = 5;   // use counts half after this
 constexpr double REMAINING_SHARE = 0.5; // of a running request's tokens that are still to come, on average
 
+constexpr double BURST_SECONDS = 2; // an idle account may use its limit of so long at once
+
 double density(const admission_request &request)
 {
     return request.worth / std::max(1.0, request.tokens);
@@ -67,7 +69,8 @@
 // Admits while there is room, then refuses whoever cannot make it any more behind those who go first.
 void admission_queue::settle(steady_time now)
 {
-    std::stable_sort(m_waiting.begin(), m_waiting.end(), [this](const admission_request &left, const admission_request &right) { return goesBefore(left, right); });
+    std::stable_sort(m_waiting.begin(), m_waiting.end(),
+                     [this](const admission_request &left, const admission_request &right) { return goesBefore(left, right); });
     double aheadTokens = 0;
     for (const auto &[ticket, one] : m_running) {
         aheadTokens += one.tokens * REMAINING_SHARE;
@@ -149,4 +152,24 @@
     return {rate / std::max(1, instances), slots / std::max(1, instances)};
 }
 
+milliseconds account_limiter::take(const account_id &account, double tokensPerSecond, double tokens, int instances, steady_time now)
+{
+    if (tokensPerSecond <= 0) {
+        return milliseconds(0);
+    }
+    const double rate = tokensPerSecond / std::max(1, instances);
+    const double burst = rate * BURST_SECONDS;
+    const auto [at, fresh] = m_buckets.try_emplace(account, bucket{burst, now});
+    bucket &one = at->second;
+    if (!fresh) {
+        one.tokens = std::min(burst, one.tokens + toSeconds(now - one.at) * rate);
+        one.at = now;
+    }
+    if (one.tokens <= 0) {
+        return std::max(milliseconds(1), fromSeconds(-one.tokens / rate));
+    }
+    one.tokens -= tokens;
+    return milliseconds(0);
+}
+
 }
--- a/src/core/chestnutgw.h
+++ b/src/core/chestnutgw.h
@@ -1075,4 +1075,22 @@
 // Capacity of the usable servers for a model version, for one of so many equal instances.
 admission_capacity admissionShare(const fleet &servers, const model_id &model, const std::string &version, int layers, int instances, steady_time now);
 
+// Holds accounts to their tokens per second over all instances. Each live instance grants an equal share, so in a partition
+// each side grants as if it were alone: the overshoot is at most the number of sides.
+class account_limiter
+{
+public:
+    // Takes a request's tokens from the account's share. Returns zero if it may run, else the time to come back after.
+    milliseconds take(const account_id &account, double tokensPerSecond, double tokens, int instances, steady_time now);
+
+private:
+    struct bucket
+    {
+        double tokens = 0; // left; below zero after a request larger than the burst
+        steady_time at;    // time to which it has been filled
+    };
+
+    std::map<account_id, bucket> m_buckets;
+};
+
 }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -147,6 +147,7 @@
     {
         const steady_time now = std::chrono::steady_clock::now();
         const auto instances = static_cast<int>(m_members.alive(now).size());
+        m_shared.liveInstances = instances;
         const std::shared_ptr<const deployment> current = m_shared.current.load();
         for (const std::string &queue : m_shared.admission.models()) {
             const auto at = queue.find('@');
--- a/src/entry/pipeline_driver.cpp
+++ b/src/entry/pipeline_driver.cpp
@@ -53,7 +53,8 @@
     std::string queue;                         // admission queue, model@version
     admission_ticket ticket = 0;               // place in it
     steady_time started;
-    steady_time deadline;
+    steady_time deadline;   // of the whole answer
+    steady_time lastMoment; // a stream that has begun may run on until then: late is better than cut
     steady_time attemptAt;  // start of the current attempt
     steady_time progressAt; // last token of the current attempt, or its start
     bool anyToken = false;  // in the current attempt
@@ -88,6 +89,7 @@
     const std::string header = self->call->header("chestnutgw-deadline-ms");
     const long asked = std::strtol(header.c_str(), nullptr, 10);
     self->deadline = self->started + (asked > 0 ? std::min(wanted, milliseconds(asked)) : wanted);
+    self->lastMoment = self->deadline + (self->deadline - self->started);
     ++m_shared.inFlight;
     m_loop.post([this, self] { admit(self); });
 }
@@ -108,9 +110,21 @@
         return;
     }
     self->session = std::make_unique<pipeline_session>(self->id, layers->second, version, self->request.maxTokens);
+    const milliseconds limited = takeFromLimit(self);
+    if (limited.count() > 0) {
+        refuse(self, 429, decision_reason::refused_rate, "the client account is over its tokens per second", limited);
+        return;
+    }
     askAdmission(self);
 }
 
+milliseconds pipeline_driver::takeFromLimit(const run_pointer &self)
+{
+    const std::lock_guard lock(m_shared.limiterMutex);
+    return m_shared.limiter.take(self->account.id, self->account.tokensPerSecond, self->request.maxTokens, m_shared.liveInstances,
+                                 std::chrono::steady_clock::now());
+}
+
 void pipeline_driver::askAdmission(const run_pointer &self)
 {
     self->queue = self->request.modelName.text + "@" + self->session->version();
@@ -202,7 +216,7 @@
         refuse(self, 503, decision_reason::refused_no_chain, "no chain of servers covers the model", NO_CHAIN_RETRY_AFTER);
         return;
     }
-    if (now >= self->deadline) {
+    if (now >= self->lastMoment) {
         giveUp(self, "no chain of servers covers the model");
         return;
     }
@@ -250,7 +264,7 @@
         m_shared.decisions.record(self->id, decision_reason::retry_budget_empty, "");
     }
     const milliseconds delay = retryDelay(self->retries, m_random);
-    const bool late = std::chrono::steady_clock::now() + delay >= self->deadline;
+    const bool late = std::chrono::steady_clock::now() + delay >= (self->session->tokens().empty() ? self->deadline : self->lastMoment);
     if (!allowed || late || self->retries >= m_shared.settings.maxAttempts) {
         giveUp(self, detail);
         return;
@@ -274,7 +288,8 @@
         const milliseconds usual(static_cast<int>(self->intervalMs * PROGRESS_FACTOR));
         limit = std::min(std::max(usual, PROGRESS_FLOOR), m_shared.settings.tokenTimeout);
     }
-    const steady_time due = std::min(self->progressAt + limit, self->deadline);
+    const steady_time end = self->session->tokens().empty() ? self->deadline : self->lastMoment;
+    const steady_time due = std::min(self->progressAt + limit, end);
     if (now < due) {
         self->progressTimer = m_loop.after(std::chrono::ceil<milliseconds>(due - now), [this, self] {
             self->progressTimer = 0;
@@ -284,7 +299,7 @@
         });
         return;
     }
-    if (now >= self->deadline) {
+    if (now >= end) {
         endAttempt(self, true);
         giveUp(self, "the deadline passed");
         return;
--- a/src/entry/pipeline_driver.h
+++ b/src/entry/pipeline_driver.h
@@ -24,6 +24,7 @@
     using run_pointer = std::shared_ptr<run>;
 
     void admit(const run_pointer &self);
+    milliseconds takeFromLimit(const run_pointer &self);
     void askAdmission(const run_pointer &self);
     void beginAttempt(const run_pointer &self);
     void waitForChain(const run_pointer &self);
--- a/src/entry/shared_admission.h
+++ b/src/entry/shared_admission.h
@@ -24,7 +24,8 @@
     void setCapacity(const std::string &model, const admission_capacity &capacity);
 
 private:
-    struct decision {
+    struct decision
+    {
         admission_callback call;
         bool admitted = false;
         milliseconds retryAfter{0};
--- a/src/entry/shared_state.h
+++ b/src/entry/shared_state.h
@@ -83,6 +83,9 @@
     decision_log decisions;
     shared_fleet servers;
     shared_admission admission;
+    std::mutex limiterMutex; // guards limiter
+    account_limiter limiter;
+    std::atomic<int> liveInstances = 1;                     // this one included
     std::atomic<std::shared_ptr<const deployment>> current; // configuration in force
     std::atomic<bool> leaving = false;                      // shuts down: no new work
     std::atomic<int> inFlight = 0;                          // requests being answered
--- a/src/load/scale.cpp
+++ b/src/load/scale.cpp
@@ -31,7 +31,8 @@
 std::string describeTimes(const std::vector<double> &values)
 {
     std::ostringstream out;
-    out << "count " << values.size() << " p50 " << percentileOf(values, 0.5) << " ms p99 " << percentileOf(values, 0.99) << " ms worst " << percentileOf(values, 1) << " ms";
+    out << "count " << values.size() << " p50 " << percentileOf(values, 0.5) << " ms p99 " << percentileOf(values, 0.99) << " ms worst "
+        << percentileOf(values, 1) << " ms";
     return out.str();
 }
 
@@ -101,7 +102,8 @@
     const deployment view = parseDeployment(fold.rows(), fold.applied());
     const double viewMs = elapsedMs(built);
     std::ostringstream out;
-    out << "fold servers=" << servers << " first_sheet_ms=" << firstMs << " sheet_bytes=" << whole.size() << " change_ms=" << changeMs << " view_ms=" << viewMs << " snapshot_bytes=" << fold.encodeSnapshot().size();
+    out << "fold servers=" << servers << " first_sheet_ms=" << firstMs << " sheet_bytes=" << whole.size() << " change_ms=" << changeMs << " view_ms=" << viewMs
+        << " snapshot_bytes=" << fold.encodeSnapshot().size();
     printLine(out.str());
 }
 
@@ -147,7 +149,8 @@
     }
     const steady_time start = std::chrono::steady_clock::now();
     const auto moves = planPlacement(all, targets, 8);
-    printLine("placement servers=" + std::to_string(servers) + " models=" + std::to_string(targets.size()) + " plan_ms=" + std::to_string(elapsedMs(start)) + " moves=" + std::to_string(moves.size()));
+    printLine("placement servers=" + std::to_string(servers) + " models=" + std::to_string(targets.size()) + " plan_ms=" + std::to_string(elapsedMs(start))
+              + " moves=" + std::to_string(moves.size()));
 }
 
 void measureMembership(int instances)
@@ -175,7 +178,8 @@
     for (const std::string &address : targets) {
         sent += view.rowsFor(address, now).size();
     }
-    printLine("membership instances=" + std::to_string(instances) + " targets=" + std::to_string(targets.size()) + " first_rows=" + std::to_string(sent) + " round_ms=" + std::to_string(elapsedMs(start)));
+    printLine("membership instances=" + std::to_string(instances) + " targets=" + std::to_string(targets.size()) + " first_rows=" + std::to_string(sent)
+              + " round_ms=" + std::to_string(elapsedMs(start)));
 }
 
 }
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -69,3 +69,18 @@
     queue.ended(1, NOW);
     CHECK(queue.takeAdmitted() == std::vector<admission_ticket>{20});
 }
+
+TEST_CASE("an account is held to its share of its limit, and told when to come back", "[unit]")
+{
+    account_limiter limiter;
+    const account_id account{"a"};
+    double granted = 0;
+    for (int ms = 0; ms < 10'000; ms += 10) {
+        const milliseconds back = limiter.take(account, 400, 50, 4, NOW + milliseconds(ms));
+        granted += back.count() == 0 ? 50 : 0;
+        CHECK(back <= milliseconds(500)); // one request's tokens at this instance's share
+    }
+    CHECK(granted <= 100 * 10 + 200 + 50); // share x time, burst, and one request begun
+    CHECK(granted >= 100 * 10);
+    CHECK(limiter.take(account_id{"b"}, 0, 1e9, 4, NOW) == milliseconds(0));
+}
