Test waits for its streams to begin; server without thread pool option

Cause: 'controllers repair a lost stage' made its fault before the streams had begun, and a request without a token is rightly refused at once when no chain is left (trace: 503 refused_no_chain); the test now waits for tokens. libmicrohttpd warned of an ignored option in every single-threaded server; the option is left out now.

--- a/src/kernel/http_server.cpp
+++ b/src/kernel/http_server.cpp
@@ -275,11 +275,15 @@
             throw std::runtime_error("not an IP number: " + options.address);
         }
         unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG | MHD_USE_ITC;
-        m_daemon = MHD_start_daemon(flags, options.port, nullptr, nullptr, &implementation::onRequest, this, MHD_OPTION_SOCK_ADDR, &address,
-                                    MHD_OPTION_THREAD_POOL_SIZE, options.threads > 1 ? options.threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
-                                    options.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT, 0U, MHD_OPTION_NOTIFY_COMPLETED, &implementation::onCompleted, this,
-                                    MHD_OPTION_NOTIFY_CONNECTION, &implementation::onConnection, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-                                    MHD_OPTION_EXTERNAL_LOGGER, &implementation::onLog, nullptr, MHD_OPTION_END);
+        // A pool of one thread is asked for by leaving the option out.
+        const MHD_OptionItem poolOption[]
+            = {{options.threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END, static_cast<std::intptr_t>(options.threads), nullptr},
+               {MHD_OPTION_END, 0, nullptr}};
+        m_daemon
+            = MHD_start_daemon(flags, options.port, nullptr, nullptr, &implementation::onRequest, this, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_ARRAY,
+                               poolOption, MHD_OPTION_CONNECTION_LIMIT, options.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT, 0U, MHD_OPTION_NOTIFY_COMPLETED,
+                               &implementation::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &implementation::onConnection, this,
+                               MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_EXTERNAL_LOGGER, &implementation::onLog, nullptr, MHD_OPTION_END);
         if (m_daemon == nullptr) {
             throw std::runtime_error("cannot listen on " + options.address + ":" + std::to_string(options.port));
         }
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -198,6 +198,14 @@
     all.publish();
     REQUIRE(eventually([&] { return answerText(all.chat(0, "placed", 5)) == all.expected("placed", 5); }));
     auto streams = sendInBackground({all.chatRequest(0, "long", 200), all.chatRequest(1, "longer", 200)});
+    // Both streams have begun; one that has not would rightly be refused when no chain is left.
+    REQUIRE(eventually([&] {
+        int tokens = 0;
+        for (int i = 0; i < 3; ++i) {
+            tokens += nlohmann::json::parse(request("GET", all.engine(0, i).url() + "/v1/report").body)["tokens"].get<int>();
+        }
+        return tokens >= 25;
+    }));
     all.controllers[0]->kill();
     for (int i = 0; i < 3; ++i) {
         all.engine(0, i).setFaults({{"leaving", true}});
