--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -2,6 +2,7 @@
 
 #include "controller/controller.h"
 
+#include "kernel/clock.h"
 #include "kernel/log.h"
 #include "kernel/registry.h"
 
@@ -57,11 +58,6 @@
 constexpr int SNAPSHOTS_PER_RETENTION = 4;    // snapshots are renewed this often within the retention
 constexpr milliseconds REPORT_LIFETIME{5000}; // an older report says nothing about now
 
-std::int64_t wallClockMs()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 lease_limits limitsOf(const controller_settings &settings)
 {
     lease_limits limits;
--- a/src/entry/pipeline_driver.cpp
+++ b/src/entry/pipeline_driver.cpp
@@ -61,6 +61,12 @@
     double intervalMs = 0;  // smoothed time between tokens
     timer_id progressTimer = 0;
     timer_id waitTimer = 0;
+
+    // When the request is given up: a stream that has begun gets longer.
+    steady_time end() const
+    {
+        return session->tokens().empty() ? deadline : lastMoment;
+    }
 };
 
 pipeline_driver::pipeline_driver(entry_shared &shared, event_loop &loop, std::unique_ptr<engine_adapter> engines, std::uint64_t seed)
@@ -264,7 +270,7 @@
         m_shared.decisions.record(self->id, decision_reason::retry_budget_empty, "");
     }
     const milliseconds delay = retryDelay(self->retries, m_random);
-    const bool late = std::chrono::steady_clock::now() + delay >= (self->session->tokens().empty() ? self->deadline : self->lastMoment);
+    const bool late = std::chrono::steady_clock::now() + delay >= self->end();
     if (!allowed || late || self->retries >= m_shared.settings.maxAttempts) {
         giveUp(self, detail);
         return;
@@ -288,7 +294,7 @@
         const milliseconds usual(static_cast<int>(self->intervalMs * PROGRESS_FACTOR));
         limit = std::min(std::max(usual, PROGRESS_FLOOR), m_shared.settings.tokenTimeout);
     }
-    const steady_time end = self->session->tokens().empty() ? self->deadline : self->lastMoment;
+    const steady_time end = self->end();
     const steady_time due = std::min(self->progressAt + limit, end);
     if (now < due) {
         self->progressTimer = m_loop.after(std::chrono::ceil<milliseconds>(due - now), [this, self] {
--- a/src/entry/shared_state.cpp
+++ b/src/entry/shared_state.cpp
@@ -15,11 +15,6 @@
 
 }
 
-std::int64_t wallClockMs()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 void decision_log::record(const request_id &request, decision_reason reason, const std::string &detail)
 {
     m_counters.count("chestnutgw_decisions_total", {{"reason", std::string(toText(reason))}});
--- a/src/entry/shared_state.h
+++ b/src/entry/shared_state.h
@@ -3,6 +3,7 @@
 #include "core/chestnutgw.h"
 #include "entry/entry_settings.h"
 #include "entry/shared_admission.h"
+#include "kernel/clock.h"
 #include "kernel/metrics.h"
 #include "kernel/sharded.h"
 
@@ -102,7 +103,4 @@
     std::string m_idPrefix;
 };
 
-// Milliseconds since the epoch, for people and for the log; never for decisions.
-std::int64_t wallClockMs();
-
 }
--- a/src/standin/log_standin.cpp
+++ b/src/standin/log_standin.cpp
@@ -1,3 +1,4 @@
+#include "kernel/clock.h"
 #include "standin/standin.h"
 
 #include <algorithm>
@@ -8,11 +9,6 @@
 namespace
 {
 
-std::int64_t wallClockMs()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 std::uint64_t numberOf(const std::string &text)
 {
     return std::strtoull(text.c_str(), nullptr, 10);
