--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -472,62 +472,91 @@
     return EXIT_WRONG_USE;
 }
 
-std::string environment(const char *name, const std::string &fallback)
+const setting_row<ctl_options> CTL_SETTINGS[] = {
+    {"ctl.entry", &ctl_options::entry, 9, 100, "IP:port", "any entry instance"},
+    {"ctl.controller", &ctl_options::controller, 9, 100, "IP:port", "any controller"},
+    {"ctl.key", &ctl_options::key, 0, 1000, "text", "operators' bearer key"},
+    {"ctl.author", &ctl_options::author, 0, 200, "text", "written into changes"},
+    {"ctl.timeout", &ctl_options::timeout, 1, 1e7, "ms", "for a change to settle and to reach all instances"},
+};
+
+// An option goes before the environment, and that before the file.
+void applyOverride(ctl_options &target, const cxxopts::ParseResult &given, const std::string &option, const char *variable)
 {
-    const char *value = std::getenv(name);
-    return value == nullptr ? fallback : value;
+    const char *value = variable == nullptr ? nullptr : std::getenv(variable);
+    if (value != nullptr) {
+        applySetting(target, CTL_SETTINGS, {std::string("environment ") + variable, 0, "ctl." + option, value});
+    }
+    if (given.count(option) > 0) {
+        applySetting(target, CTL_SETTINGS, {"--" + option, 0, "ctl." + option, given[option].as<std::string>()});
+    }
+}
+
+ctl_options readOptions(const cxxopts::ParseResult &given)
+{
+    ctl_options parsed;
+    if (given.count("config") > 0) {
+        for (const setting_text &text : readSettings(given["config"].as<std::string>())) {
+            applySetting(parsed, CTL_SETTINGS, text);
+        }
+    }
+    applyOverride(parsed, given, "entry", "CHESTNUTGW_ENTRY");
+    applyOverride(parsed, given, "controller", "CHESTNUTGW_CONTROLLER");
+    applyOverride(parsed, given, "key", "CHESTNUTGW_KEY");
+    applyOverride(parsed, given, "author", "USER");
+    applyOverride(parsed, given, "timeout", nullptr);
+    parsed.id = given["id"].as<std::string>();
+    parsed.base = given["base"].as<std::string>();
+    parsed.printJson = given.count("json") > 0;
+    parsed.wait = given.count("wait") > 0;
+    if (given.count("words") > 0) {
+        parsed.words = given["words"].as<std::vector<std::string>>();
+    }
+    return parsed;
 }
 
 }
 
 int main(int argc, char **argv)
 {
-    ctl_options parsed;
     cxxopts::Options options("chestnutctl", "Operates a chestnutgw deployment through any of its instances");
     options.positional_help("COMMAND ...");
-    options.add_options()("e,entry", "IP:port of an instance; default from CHESTNUTGW_ENTRY",
-                          cxxopts::value<std::string>()->default_value(environment("CHESTNUTGW_ENTRY", parsed.entry)));
-    options.add_options()("controller", "IP:port of a controller; default from CHESTNUTGW_CONTROLLER",
-                          cxxopts::value<std::string>()->default_value(environment("CHESTNUTGW_CONTROLLER", parsed.controller)));
-    options.add_options()("key", "operators' bearer key; default from CHESTNUTGW_KEY",
-                          cxxopts::value<std::string>()->default_value(environment("CHESTNUTGW_KEY", "")));
-    options.add_options()("author", "written into changes", cxxopts::value<std::string>()->default_value(environment("USER", "operator")));
+    options.add_options()("c,config", "INI file with the settings below", cxxopts::value<std::string>());
+    options.add_options()("check-config", "check the settings and exit");
+    options.add_options()("e,entry", "IP:port of an instance; else CHESTNUTGW_ENTRY", cxxopts::value<std::string>());
+    options.add_options()("controller", "IP:port of a controller; else CHESTNUTGW_CONTROLLER", cxxopts::value<std::string>());
+    options.add_options()("key", "operators' bearer key; else CHESTNUTGW_KEY", cxxopts::value<std::string>());
+    options.add_options()("author", "written into changes; else USER", cxxopts::value<std::string>());
     options.add_options()("id", "id of the change; repeating it is harmless", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("base", "offset that the sheet was made from; default: the one in force", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("json", "print answers as JSON");
     options.add_options()("wait", "until all live instances have the change in force");
-    options.add_options()("timeout", "for a change to settle and to reach all instances, ms", cxxopts::value<int>()->default_value("30000"));
+    options.add_options()("timeout", "for a change to settle and to reach all instances, ms", cxxopts::value<std::string>());
     options.add_options()("h,help", "print this help")("version", "print the version");
     options.add_options()("words", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"words"});
     try {
         const auto given = options.parse(argc, argv);
         if (given.count("help") > 0) {
-            chestnut::printLine(options.help() + "\n" + commandHelp());
+            chestnut::printLine(options.help() + "\n" + commandHelp() + "\n" + chestnut::describeSettings(CTL_SETTINGS));
             return 0;
         }
         if (given.count("version") > 0) {
             chestnut::printLine(std::string("chestnutctl ") + CHESTNUTGW_VERSION);
             return 0;
         }
-        parsed.entry = given["entry"].as<std::string>();
-        parsed.controller = given["controller"].as<std::string>();
-        parsed.key = given["key"].as<std::string>();
-        parsed.author = given["author"].as<std::string>();
-        parsed.id = given["id"].as<std::string>();
-        parsed.base = given["base"].as<std::string>();
-        parsed.printJson = given.count("json") > 0;
-        parsed.wait = given.count("wait") > 0;
-        parsed.timeout = chestnut::milliseconds(given["timeout"].as<int>());
-        if (given.count("words") > 0) {
-            parsed.words = given["words"].as<std::vector<std::string>>();
+        ctl_options parsed = readOptions(given);
+        if (given.count("check-config") > 0) {
+            chestnut::printLine("settings are valid");
+            return 0;
         }
+        return runCommand(parsed);
     } catch (const cxxopts::exceptions::exception &problem) {
         chestnut::printError(std::string(problem.what()) + "; see chestnutctl --help");
         return EXIT_WRONG_USE;
-    }
-    try {
-        return runCommand(parsed);
+    } catch (const chestnut::settings_error &problem) {
+        chestnut::printError(problem.what());
+        return EXIT_WRONG_USE;
     } catch (const std::exception &problem) {
         chestnut::printError(problem.what());
         return EXIT_FAILED;
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -89,7 +89,7 @@
 std::string describeSettings(const setting_row<settings> (&table)[count])
 {
     const settings defaults;
-    std::string text = "Settings (INI sections and keys; also --set section.key=value):\n";
+    std::string text = "Settings (section.key of the INI file):\n";
     for (const setting_row<settings> &row : table) {
         std::string fallback;
         std::visit(
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -3,6 +3,7 @@
 #include "cluster.h"
 
 #include <catch2/catch.hpp>
+#include <fstream>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -57,3 +58,17 @@
     CHECK(runProgramOnce("chestnutgw-entry", {"--check-config", "--set", "platform.log_url=http://127.0.0.1:1"}).status == 0);
     CHECK(runProgramOnce("chestnutgw-entry", {"--help"}).output.find("instance.drain_limit [ms] default 30000") != std::string::npos);
 }
+
+TEST_CASE("a wrong line in a settings file is named by file and line, by every program", "[failure]")
+{
+    const std::string file = std::string(CHESTNUTGW_BIN) + "/wrong-settings.ini";
+    std::ofstream(file) << "; a comment\n[instance]\nname = x\n\n[nowhere]\nkey = 1\n";
+    for (const char *program : {"chestnutgw-entry", "chestnutgw-controller", "chestnutgw-standin", "chestnutgw-load", "chestnutctl"}) {
+        const program_result result = runProgramOnce(program, {"--check-config", "--config", file}, true);
+        INFO(program << ": " << result.output);
+        CHECK(result.status == 2);
+        CHECK(result.output.find("wrong-settings.ini:") != std::string::npos);
+        CHECK(result.output.find("allowed:") != std::string::npos);
+        CHECK(runProgramOnce(program, {"--version"}).output.find(program) != std::string::npos);
+    }
+}
--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -18,7 +18,7 @@
 
 constexpr seconds HANG_LIMIT{30}; // nothing waits this long unless it hangs
 
-pid_t spawn(const std::string &program, const std::vector<std::string> &arguments, int output)
+pid_t spawn(const std::string &program, const std::vector<std::string> &arguments, int output, bool withErrors = false)
 {
     const std::string path = std::string(CHESTNUTGW_BIN) + "/" + program;
     std::vector<char *> argv{const_cast<char *>(path.c_str())};
@@ -30,6 +30,9 @@
     posix_spawn_file_actions_init(&actions);
     const scope_guard cleanActions([&] { posix_spawn_file_actions_destroy(&actions); });
     posix_spawn_file_actions_adddup2(&actions, output, 1);
+    if (withErrors) {
+        posix_spawn_file_actions_adddup2(&actions, output, 2);
+    }
     pid_t pid = -1;
     if (posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ) != 0) {
         throw std::runtime_error("cannot start " + path);
@@ -119,7 +122,7 @@
     return statusOf(status);
 }
 
-program_result runProgramOnce(const std::string &program, const std::vector<std::string> &arguments)
+program_result runProgramOnce(const std::string &program, const std::vector<std::string> &arguments, bool withErrors)
 {
     int ends[2] = {};
     if (::pipe2(ends, O_CLOEXEC) != 0) {
@@ -130,7 +133,7 @@
     pid_t pid = -1;
     {
         const unique_fd writer(ends[1]);
-        pid = spawn(program, arguments, writer.get());
+        pid = spawn(program, arguments, writer.get(), withErrors);
     }
     char buffer[4096];
     ssize_t count = 0;
--- a/tests/process.h
+++ b/tests/process.h
@@ -46,13 +46,13 @@
     std::string m_peerAddress;
 };
 
-// Runs a program to its end; returns exit status and all output.
+// Runs a program to its end; returns exit status and its output, on request with standard error.
 struct program_result
 {
     int status = 0;
     std::string output;
 };
-program_result runProgramOnce(const std::string &program, const std::vector<std::string> &arguments);
+program_result runProgramOnce(const std::string &program, const std::vector<std::string> &arguments, bool withErrors = false);
 
 // Sends one request and waits for the answer.
 http_result request(const std::string &method, const std::string &url, const std::string &body = {}, const std::vector<std::string> &headers = {},
