--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build and the tests need; does nothing where all are present.
 set -euo pipefail
-PACKAGES="g++ cmake make ninja-build pkg-config ccache git curl libgrpc++-dev libprotobuf-dev prometheus-cpp-dev libmicrohttpd-dev
+PACKAGES="g++ cmake make ninja-build pkg-config ccache git curl libgrpc++-dev libprotobuf-dev protobuf-compiler-grpc libboost-dev prometheus-cpp-dev libmicrohttpd-dev
   libcurl4-openssl-dev libssl-dev libcxxopts-dev libboost-log-dev libboost-thread-dev libboost-filesystem-dev catch2 libinih-dev libcsv-dev
   nlohmann-json3-dev libxxhash-dev libpcg-cpp-dev spin gcc clang-format clang-tidy clang libclang-rt-14-dev"
 missing=""
--- /dev/null
+++ b/src/core/event_splitter.cpp
@@ -0,0 +1,63 @@
+#include "core/event_splitter.h"
+
+#include <charconv>
+
+namespace chestnut
+{
+
+namespace
+{
+
+// End of the event that begins at `from`: one past its blank line, or npos.
+std::size_t eventEnd(std::string_view text, std::size_t from)
+{
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        if (at + 1 < text.size() && text[at + 1] == '\n') {
+            return at + 2;
+        }
+        if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n') {
+            return at + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+}
+
+std::string event_splitter::feed(std::string_view piece)
+{
+    m_pending.append(piece);
+    std::size_t taken = 0;
+    for (std::size_t end = eventEnd(m_pending, 0); end != std::string::npos; end = eventEnd(m_pending, taken)) {
+        noteEvent(std::string_view(m_pending).substr(taken, end - taken));
+        taken = end;
+    }
+    std::string whole = m_pending.substr(0, taken);
+    m_pending.erase(0, taken);
+    return whole;
+}
+
+void event_splitter::noteEvent(std::string_view event)
+{
+    ++m_events;
+    std::size_t start = 0;
+    while (start < event.size()) {
+        const std::size_t stop = std::min(event.find('\n', start), event.size());
+        std::string_view line = event.substr(start, stop - start);
+        start = stop + 1;
+        if (!line.starts_with("id:")) {
+            continue;
+        }
+        line.remove_prefix(3);
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        std::uint64_t id = 0;
+        const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (error == std::errc() && end != line.data()) {
+            m_lastId = id;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/core/giver_lease.cpp
@@ -0,0 +1,58 @@
+#include "core/giver_lease.h"
+
+namespace chestnut
+{
+
+void giver_lease::noteRead(std::uint64_t end, const std::optional<std::string> &newest, steady_time now)
+{
+    const bool grown = end > m_end || !m_known;
+    m_known = true;
+    m_end = end;
+    if (!newest || !grown) {
+        return;
+    }
+    m_holder = *newest;
+    m_seen = now;
+    if (m_holder != m_self) {
+        m_held.reset();
+    } else if (m_sent) {
+        m_held = m_sent; // the append took effect, whether or not it was answered
+    }
+}
+
+bool giver_lease::shouldAppend(steady_time now) const
+{
+    if (!m_known || (m_sent && now - *m_sent < m_terms.renewal)) {
+        return false;
+    }
+    if (m_holder.empty()) {
+        return true;
+    }
+    if (m_holder == m_self && m_held) {
+        return now - *m_held >= m_terms.renewal;
+    }
+    return now - m_seen >= m_terms.takeover;
+}
+
+void giver_lease::noteSent(steady_time now)
+{
+    m_sent = now;
+}
+
+void giver_lease::noteAppended(bool appended)
+{
+    if (appended) {
+        m_held = m_sent;
+        m_holder = m_self;
+        m_seen = *m_sent;
+        ++m_end;
+    }
+    m_sent.reset();
+}
+
+bool giver_lease::holds(steady_time now) const
+{
+    return m_held && m_holder == m_self && now - *m_held < m_terms.hold;
+}
+
+}
--- /dev/null
+++ b/src/core/server_health.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// What one instance has itself seen of a backend server: failures in a row and until when it is avoided. A server that is
+// avoided is tried again after a pause that grows with each failure and is bounded.
+
+#include "kernel/ids.h"
+
+#include <string>
+#include <unordered_map>
+
+namespace chestnut
+{
+
+// Why a server is avoided.
+enum class failure_kind
+{
+    unreachable, // no connection could be made
+    silent,      // no byte for longer than expected
+    broken,      // connection lost or answer spoilt
+    refused,     // it said that it did not run the request
+    error,       // its own failure answer
+};
+
+struct server_state
+{
+    int failures = 0;         // in a row
+    steady_time avoidUntil{}; // no new work before
+    int running = 0;          // requests of this instance at the server
+    double tokens = 0;        // tokens of this instance's generations that pass through it
+    int reportedRunning = -1; // at the whole server, -1 = unknown
+    int reportedWaiting = 0;
+    steady_time reportedAt{};
+};
+
+class server_health
+{
+public:
+    server_state &of(const std::string &address)
+    {
+        return m_servers[address];
+    }
+    // Counts a failure and sets the pause.
+    void noteFailure(const std::string &address, failure_kind kind, steady_time now);
+    void noteSuccess(const std::string &address);
+    bool avoided(const std::string &address, steady_time now) const;
+
+private:
+    std::unordered_map<std::string, server_state> m_servers; // by address
+};
+
+const char *toText(failure_kind kind);
+
+}
--- /dev/null
+++ b/src/gateway/caller_session.cpp
@@ -0,0 +1,389 @@
+#include "gateway/caller_session.h"
+
+#include "gateway/headers.h"
+#include "kernel/scope.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace chestnut
+{
+
+namespace
+{
+
+using boost::system::error_code;
+
+constexpr milliseconds UNKNOWN_CONFIG_RETRY{400};   // a starting instance knows its configuration by then
+constexpr milliseconds WRITE_TIMEOUT{5000};         // a client that takes no byte for so long is given up
+constexpr milliseconds REJECT_LINGER{200};          // time to read on after an early refusal, so that the answer is not reset
+constexpr std::size_t MOST_EARLY_BYTES = 64 * 1024; // of the next request, read while one is answered
+constexpr int USER_TIMEOUT_MS = 4000;
+constexpr double DEFAULT_TOKENS = 800; // of a generation that names no size
+
+auto into(error_code &error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+// Leading number of a header, or nothing.
+std::optional<double> parseLeading(std::string_view text)
+{
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end != text.data() ? std::optional(value) : std::nullopt;
+}
+
+// Prompt tokens and the expected part of the most answer tokens.
+double expectedTokens(const client_message &message, const wire_vocabulary &words)
+{
+    const std::string_view counts = viewOf(message[words.tokenCount]);
+    const auto prompt = parseLeading(counts);
+    const std::size_t comma = counts.find(',');
+    if (!prompt || comma == std::string_view::npos) {
+        return DEFAULT_TOKENS;
+    }
+    const double most = parseLeading(counts.substr(comma + 1)).value_or(0);
+    const double hint = parseLeading(viewOf(message[words.lengthHint])).value_or(most);
+    return *prompt + std::min(most, hint);
+}
+
+}
+
+caller_session::caller_session(traffic_state &state, asio::ip::tcp::socket socket)
+    : m_state(state)
+    , m_stream(std::move(socket))
+{
+    const int native = m_stream.socket().native_handle();
+    const int on = 1;
+    const int timeout = USER_TIMEOUT_MS;
+    // A missing option costs only speed of detection.
+    (void)::setsockopt(native, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    (void)::setsockopt(native, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+asio::awaitable<void> caller_session::run()
+{
+    const auto self = shared_from_this();
+    while (m_keepAlive && !m_gone && !m_cut) {
+        request_parser parser;
+        if (!co_await readRequest(parser)) {
+            break;
+        }
+        client_message message = parser.release();
+        co_await serve(message);
+    }
+    error_code ignored; // the connection is over either way
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_stream.socket().close(ignored);
+}
+
+void caller_session::closeWhenIdle()
+{
+    m_keepAlive = false;
+    if (!m_serving && !m_reading && m_buffer.size() == 0) {
+        error_code ignored; // the connection is over either way
+        m_stream.socket().cancel(ignored);
+    }
+}
+
+asio::awaitable<bool> caller_session::readRequest(request_parser &parser)
+{
+    const client_limits limits = m_state.config ? m_state.config->limits : client_limits();
+    error_code error;
+    m_reading = m_buffer.size() > 0;
+    if (!m_reading) {
+        m_stream.expires_after(limits.idleTimeout);
+        const std::size_t got = co_await m_stream.async_read_some(m_buffer.prepare(4096), into(error));
+        if (error) {
+            co_return false;
+        }
+        m_buffer.commit(got);
+        m_reading = true;
+    }
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    m_stream.expires_after(limits.headerTimeout);
+    co_await http::async_read_header(m_stream, m_buffer, parser, into(error));
+    if (!error && sameHeader(viewOf(parser.get()[http::field::expect]), "100-continue")) {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await writeAll(interim);
+    }
+    if (!error && !parser.is_done()) {
+        m_stream.expires_after(limits.idleTimeout);
+        co_await http::async_read(m_stream, m_buffer, parser, into(error));
+    }
+    if (error) {
+        co_await rejectUnreadable(error);
+        co_return false;
+    }
+    m_reading = false;
+    co_return true;
+}
+
+// A request that cannot be read is answered where HTTP has a status for it; the connection closes.
+asio::awaitable<void> caller_session::rejectUnreadable(error_code error)
+{
+    m_keepAlive = false;
+    int status = 400;
+    const char *reason = "malformed_request";
+    if (error == http::error::header_limit) {
+        status = 431;
+        reason = "headers_too_large";
+    } else if (error == http::error::body_limit) {
+        status = 413;
+        reason = "body_too_large";
+    } else if (error == beast::error::timeout) {
+        status = 408;
+        reason = "request_too_slow";
+    } else if (error == http::error::end_of_stream || error == http::error::partial_message || error.category() == asio::error::get_system_category()) {
+        co_return; // the client left
+    }
+    m_state.counters.count("requests_unreadable", {{"reason", reason}});
+    logLine(log_level::info, "request_unreadable", {{"reason", reason}, {"error", error.message()}});
+    if (status == 408) {
+        co_return; // the expired stream is closed already
+    }
+    co_await answerOwn(status, reason, "");
+    // Reads on for a moment: closing with unread bytes would reset the answer.
+    std::array<char, 8192> ignored;
+    m_stream.expires_after(REJECT_LINGER);
+    error_code ended;
+    while (!ended) {
+        co_await m_stream.async_read_some(asio::buffer(ignored), into(ended));
+    }
+}
+
+asio::awaitable<bool> caller_session::admit(const client_message &message, request_facts &facts)
+{
+    const wire_vocabulary &words = m_state.words;
+    facts.accepted = std::chrono::steady_clock::now();
+    facts.message = &message;
+    facts.id = std::string(viewOf(message[words.requestId]));
+    facts.config = m_state.config;
+    if (!m_state.config || !m_state.fleet) {
+        co_await answerOwn(503, "configuration_unknown", facts.id, UNKNOWN_CONFIG_RETRY);
+        co_return false;
+    }
+    facts.matched = matchRoute(*facts.config, viewOf(message[http::field::host]), viewOf(message.target()));
+    if (facts.matched == nullptr) {
+        co_await answerOwn(404, "no_route", facts.id);
+        co_return false;
+    }
+    if (facts.config->hasAccounts && !facts.matched->anonymous) {
+        std::string_view key = viewOf(message[words.authorization]);
+        const bool schemed = key.starts_with(words.keyScheme);
+        key.remove_prefix(schemed ? words.keyScheme.size() : 0);
+        const auto account = facts.config->accountsByKey.find(std::string(key));
+        if (!schemed || account == facts.config->accountsByKey.end()) {
+            co_await answerOwn(401, "unknown_key", facts.id);
+            co_return false;
+        }
+        facts.account = account->second;
+    }
+    facts.service = pickService(*facts.matched, m_state.draw());
+    const auto wanted = parseLeading(viewOf(message[words.deadline]));
+    const auto routeLimit = facts.matched->timeout;
+    milliseconds limit = wanted ? milliseconds(static_cast<std::int64_t>(*wanted)) : routeLimit;
+    if (routeLimit.count() > 0) {
+        limit = std::min(limit, routeLimit);
+    }
+    facts.deadline = facts.accepted + limit;
+    facts.tokens = expectedTokens(message, words);
+    co_return true;
+}
+
+asio::awaitable<void> caller_session::serve(client_message &message)
+{
+    m_serving = true;
+    ++m_state.openRequests;
+    ++m_watch;
+    const scope_guard ended([this] {
+        m_serving = false;
+        --m_state.openRequests;
+        m_flow.reset();
+        ++m_watch;
+        error_code ignored; // nothing to cancel if the client has left
+        m_stream.socket().cancel(ignored);
+    });
+    m_keepAlive = m_keepAlive && message.keep_alive() && !m_state.draining;
+    m_head = message.method() == http::verb::head;
+    request_facts facts;
+    if (!co_await admit(message, facts)) {
+        co_return;
+    }
+    m_flow = makeFlow(m_state, facts, *this);
+    const std::shared_ptr<request_flow> flow = m_flow;
+    watchClient();
+    co_await flow->run();
+    logEnd(facts, flow->outcome());
+}
+
+//-----------------------------------------------------------------------------
+// Client that leaves
+//-----------------------------------------------------------------------------
+
+void caller_session::watchClient()
+{
+    const std::uint64_t watch = m_watch;
+    m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this(), watch](error_code error) {
+        if (!error && self->m_watch == watch) {
+            self->takeClientBytes();
+        }
+    });
+}
+
+// Bytes that arrive while a request is answered belong to the next one; the end of the connection ends the request.
+void caller_session::takeClientBytes()
+{
+    error_code error;
+    m_stream.socket().non_blocking(true, error);
+    const std::size_t got = m_stream.socket().read_some(m_buffer.prepare(4096), error);
+    if (error == asio::error::would_block) {
+        watchClient();
+        return;
+    }
+    if (error) {
+        noteGone();
+        return;
+    }
+    m_buffer.commit(got);
+    if (m_buffer.size() < MOST_EARLY_BYTES) {
+        watchClient();
+    }
+}
+
+void caller_session::noteGone()
+{
+    m_gone = true;
+    m_state.counters.count("clients_left");
+    if (m_flow) {
+        m_flow->abandon();
+    }
+}
+
+//-----------------------------------------------------------------------------
+// Answers
+//-----------------------------------------------------------------------------
+
+asio::awaitable<bool> caller_session::writeAll(const std::string &bytes)
+{
+    if (m_gone || m_cut) {
+        co_return false;
+    }
+    m_stream.expires_after(WRITE_TIMEOUT);
+    error_code error;
+    co_await asio::async_write(m_stream, asio::buffer(bytes), into(error));
+    m_stream.expires_never();
+    if (error && !m_gone) {
+        noteGone();
+    }
+    co_return !error;
+}
+
+std::string caller_session::headText(int status, const header_list &headers) const
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    const auto phrase = http::obsolete_reason(static_cast<http::status>(status));
+    text.append(phrase.data(), phrase.size()).append("\r\n");
+    for (const auto &[name, value] : headers) {
+        text += name + ": " + value + "\r\n";
+    }
+    text += m_keepAlive ? "Connection: keep-alive\r\n" : "Connection: close\r\n";
+    return text;
+}
+
+asio::awaitable<bool> caller_session::respond(int status, const header_list &headers, const std::string &body)
+{
+    m_keepAlive = m_keepAlive && !m_state.draining;
+    std::string text = headText(status, headers);
+    const bool noBody = status == 204 || status == 304;
+    if (!noBody) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    text += "\r\n";
+    if (!noBody && !m_head) {
+        text += body;
+    }
+    co_return co_await writeAll(text);
+}
+
+asio::awaitable<bool> caller_session::beginStream(int status, const header_list &headers)
+{
+    m_keepAlive = m_keepAlive && !m_state.draining;
+    const std::string text = headText(status, headers) + "Transfer-Encoding: chunked\r\n\r\n";
+    co_return co_await writeAll(text);
+}
+
+asio::awaitable<bool> caller_session::writeStream(const std::string &bytes)
+{
+    std::array<char, 20> size{};
+    const auto [end, error] = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
+    std::string text(size.data(), end);
+    text.append("\r\n").append(bytes).append("\r\n");
+    co_return co_await writeAll(text);
+}
+
+asio::awaitable<bool> caller_session::finishStream()
+{
+    const std::string text = "0\r\n\r\n";
+    co_return co_await writeAll(text);
+}
+
+void caller_session::cut()
+{
+    m_cut = true;
+    m_keepAlive = false;
+    error_code ignored; // the connection is over either way
+    m_stream.socket().close(ignored);
+}
+
+asio::awaitable<void> caller_session::answerOwn(int status, const char *reason, const std::string &id, milliseconds retryAfter)
+{
+    m_state.counters.count("requests_rejected", {{"reason", reason}});
+    if (m_state.lines.take(std::chrono::steady_clock::now())) {
+        logLine(log_level::info, "request_rejected", {{"request", id}, {"status", std::to_string(status)}, {"reason", reason}});
+    }
+    const header_list headers = errorHeaders(m_state.words, id, retryAfter);
+    const std::string body = errorBody(reason);
+    co_await respond(status, headers, body);
+}
+
+void caller_session::logEnd(const request_facts &facts, const request_outcome &outcome) const
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    const auto took = std::chrono::duration_cast<milliseconds>(now - facts.accepted);
+    const std::string reason = m_gone ? "client_left" : outcome.reason;
+    const metric_labels labels{{"account", facts.account.text}, {"route", facts.matched->name}};
+    m_state.counters.count("requests", {{"status", std::to_string(outcome.status)}, {"reason", reason}});
+    m_state.counters.observe("request_seconds", toSeconds(took), labels);
+    if (!m_state.lines.take(now)) {
+        return;
+    }
+    logLine(log_level::info, "request",
+            {{"request", facts.id},
+             {"account", facts.account.text},
+             {"route", facts.matched->name},
+             {"service", facts.service.text},
+             {"config", std::to_string(facts.config->version)},
+             {"fleet", std::to_string(m_state.fleet->version)},
+             {"status", std::to_string(outcome.status)},
+             {"reason", reason},
+             {"cut", outcome.cut ? "yes" : "no"},
+             {"ms", std::to_string(took.count())},
+             {"first_ms", std::to_string(outcome.firstByte.count())},
+             {"gap_ms", std::to_string(outcome.longestGap.count())},
+             {"events", std::to_string(outcome.events)},
+             {"runs", std::to_string(outcome.runs)},
+             {"refused", std::to_string(outcome.refused)},
+             {"repaths", std::to_string(outcome.repaths)},
+             {"servers", outcome.servers}});
+}
+
+}
--- /dev/null
+++ b/src/gateway/control_plane.cpp
@@ -0,0 +1,187 @@
+#include "gateway/control_plane.h"
+
+#include "kernel/clock.h"
+#include "kernel/log.h"
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr milliseconds LEASE_WAIT{4000}; // long poll of the lease log
+constexpr milliseconds LEASE_RETRY{500}; // pause after a failed read
+constexpr milliseconds TICK{250};
+constexpr milliseconds ORDER_LIFE{15'000}; // a late order has been carried out by then
+constexpr milliseconds ORDER_RETRY{3000};  // after an order that certainly did not begin
+constexpr milliseconds FLEET_SETTLE{400};  // servers register one after the other when all start
+
+std::string rangeText(layer_range range)
+{
+    return std::to_string(range.first) + "-" + std::to_string(range.last);
+}
+
+}
+
+control_plane::control_plane(event_loop &loop, platform_port &port, metrics &counters, const gateway_settings &settings, control_handler handler)
+    : m_loop(loop)
+    , m_port(port)
+    , m_counters(counters)
+    , m_handler(std::move(handler))
+    , m_lease(settings.name + "#" + std::to_string(wallClockMs()), {})
+{
+}
+
+void control_plane::start()
+{
+    m_loop.post([this] {
+        platform_handler handler;
+        handler.onConfig = [this](std::shared_ptr<const gateway_config> config) {
+            logLine(log_level::info, "config_applied", {{"version", std::to_string(config->version)}, {"routes", std::to_string(config->routes.size())}});
+            m_counters.set("config_version", static_cast<double>(config->version));
+            m_config = config;
+            m_handler.onConfig(std::move(config));
+        };
+        handler.onFleet = [this](std::shared_ptr<const fleet_snapshot> fleet) {
+            if (!m_fleet || m_fleet->servers.size() != fleet->servers.size()) {
+                m_fleetChanged = std::chrono::steady_clock::now();
+                logLine(log_level::info, "fleet_changed", {{"version", std::to_string(fleet->version)}, {"servers", std::to_string(fleet->servers.size())}});
+            }
+            m_counters.set("fleet_servers", static_cast<double>(fleet->servers.size()));
+            m_fleet = fleet;
+            m_handler.onFleet(std::move(fleet));
+        };
+        handler.onReachable = [this](bool reachable) { m_counters.set("platform_reachable", reachable ? 1 : 0); };
+        m_port.follow(std::move(handler));
+        pollLease();
+        tick();
+    });
+}
+
+//-----------------------------------------------------------------------------
+// Lease
+//-----------------------------------------------------------------------------
+
+void control_plane::pollLease()
+{
+    // The first read does not wait, since an empty log would keep it waiting.
+    const bool first = m_leaseNext == 0 && m_lease.holder().empty();
+    m_port.readLease(m_leaseNext, first ? milliseconds(0) : LEASE_WAIT, [this](const lease_read &read) {
+        if (!read.ok) {
+            m_loop.after(LEASE_RETRY, [this] { pollLease(); });
+            return;
+        }
+        std::optional<std::string> newest;
+        if (!read.entries.empty()) {
+            newest = read.entries.back().holder;
+            m_leaseNext = read.entries.back().offset + 1;
+        }
+        if (read.end == m_leaseNext) {
+            m_lease.noteRead(read.end, newest, std::chrono::steady_clock::now());
+        }
+        m_loop.after(milliseconds(read.end == 0 ? LEASE_RETRY : milliseconds(20)), [this] { pollLease(); });
+    });
+}
+
+void control_plane::tryAppend()
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (!m_lease.shouldAppend(now)) {
+        return;
+    }
+    m_lease.noteSent(now);
+    m_port.appendLease(m_lease.end(), m_lease.self(), [this](append_outcome outcome) {
+        if (outcome == append_outcome::unknown) {
+            return; // the next read tells
+        }
+        m_lease.noteAppended(outcome == append_outcome::appended);
+    });
+}
+
+//-----------------------------------------------------------------------------
+// Orders
+//-----------------------------------------------------------------------------
+
+void control_plane::tick()
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    tryAppend();
+    const bool giver = m_lease.holds(now);
+    if (giver != m_wasGiver) {
+        m_wasGiver = giver;
+        logLine(log_level::info, giver ? "lease_taken" : "lease_lost", {{"holder", m_lease.holder()}, {"end", std::to_string(m_lease.end())}});
+        m_counters.set("gives_orders", giver ? 1 : 0);
+    }
+    if (giver && m_config && m_fleet && now - m_fleetChanged >= FLEET_SETTLE) {
+        forgetSettledOrders(now);
+        for (const auto &[id, service] : m_config->services) {
+            if (service.engine && service.engine->layers > 0) {
+                giveOrders(service, now);
+            }
+        }
+    }
+    m_loop.after(TICK, [this] { tick(); });
+}
+
+void control_plane::forgetSettledOrders(steady_time now)
+{
+    std::erase_if(m_pending, [&](const auto &entry) {
+        const auto server = m_fleet->servers.find(entry.first);
+        return server == m_fleet->servers.end() || server->second.held.count() > 0 || now - entry.second.given > ORDER_LIFE;
+    });
+}
+
+void control_plane::giveOrders(const service_profile &service, steady_time now)
+{
+    std::vector<placed_server> servers;
+    for (const auto &[id, server] : m_fleet->servers) {
+        if (server.service != service.id || server.draining) {
+            continue;
+        }
+        const auto pending = m_pending.find(id);
+        servers.push_back({id, server.domain, server.accelerator, pending != m_pending.end() ? pending->second.range : server.held});
+    }
+    for (const layer_assignment &assignment : planPlacement(*service.engine, servers, {})) {
+        m_pending[assignment.server] = {assignment.range, now};
+        order(m_fleet->servers.at(assignment.server), assignment.range);
+    }
+}
+
+// Reads the server's state first: the order names the count of orders that it must have begun, so that an order that
+// arrives late does not undo a newer one.
+void control_plane::order(const listed_server &server, layer_range range)
+{
+    m_port.fetchReport(server.address, server.id, [this, server, range](const server_report &report) {
+        const bool empty = report.ok && report.held.count() == 0 && !report.busy;
+        if (!empty) {
+            logLine(log_level::info, "order_not_given",
+                    {{"server", server.id.text}, {"range", rangeText(range)}, {"reason", report.ok ? "holds layers or is busy" : report.error}});
+            if (!report.ok) {
+                m_pending[server.id].given = std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY;
+            }
+            return;
+        }
+        if (m_lease.holds(std::chrono::steady_clock::now())) {
+            sendOrder(server, range, report.orderSequence);
+        }
+    });
+}
+
+void control_plane::sendOrder(const listed_server &server, layer_range range, std::uint64_t sequence)
+{
+    m_port.orderLayers(server.address, server.id, range, sequence, [this, server, range, sequence](order_outcome outcome) {
+        static constexpr const char *NAMES[] = {"begun", "mismatch", "refused", "unreachable", "unknown"};
+        logLine(log_level::info, "order",
+                {{"server", server.id.text},
+                 {"kind", server.accelerator},
+                 {"domain", server.domain.text},
+                 {"range", rangeText(range)},
+                 {"sequence", std::to_string(sequence)},
+                 {"outcome", NAMES[static_cast<int>(outcome)]}});
+        if (outcome != order_outcome::begun) {
+            m_pending[server.id] = {range, std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY};
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/src/gateway/control_plane.h
@@ -0,0 +1,56 @@
+#pragma once
+
+// The control thread: follows configuration and servers, holds or watches the lease, and gives orders while it holds it.
+
+#include "core/giver_lease.h"
+#include "core/layer_placement.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/platform_port.h"
+
+namespace chestnut
+{
+
+// Where the control thread's news goes; called on the control thread.
+struct control_handler
+{
+    std::function<void(std::shared_ptr<const gateway_config>)> onConfig;
+    std::function<void(std::shared_ptr<const fleet_snapshot>)> onFleet;
+};
+
+class control_plane
+{
+public:
+    control_plane(event_loop &loop, platform_port &port, metrics &counters, const gateway_settings &settings, control_handler handler);
+    // Begins to follow the platform. Any thread.
+    void start();
+
+private:
+    // An order that was given and is not yet seen in the server's own entry.
+    struct pending_order
+    {
+        layer_range range;
+        steady_time given;
+    };
+
+    void pollLease();
+    void tryAppend();
+    void tick();
+    void giveOrders(const service_profile &service, steady_time now);
+    void order(const listed_server &server, layer_range range);
+    void sendOrder(const listed_server &server, layer_range range, std::uint64_t sequence);
+    void forgetSettledOrders(steady_time now);
+
+    event_loop &m_loop;
+    platform_port &m_port;
+    metrics &m_counters;
+    control_handler m_handler;
+    giver_lease m_lease;
+    std::uint64_t m_leaseNext = 0; // next offset of the lease log to read
+    bool m_wasGiver = false;
+    std::shared_ptr<const gateway_config> m_config;
+    std::shared_ptr<const fleet_snapshot> m_fleet;
+    steady_time m_fleetChanged{}; // when the set of servers last changed
+    std::map<server_id, pending_order> m_pending;
+};
+
+}
--- /dev/null
+++ b/src/gateway/front_server.cpp
@@ -0,0 +1,149 @@
+#include "gateway/front_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace chestnut
+{
+
+namespace
+{
+
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr int BACKLOG = 1024;
+constexpr milliseconds CHECK_TIMEOUT{3000};
+constexpr milliseconds ACCEPT_RETRY{20};    // pause after a failed accept, for example without free descriptors
+constexpr std::size_t SWEEP_SESSIONS = 512; // ended sessions are forgotten beyond this count
+
+tcp::endpoint endpointOf(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    unsigned port = 0;
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    return {asio::ip::make_address(address.substr(0, colon)), static_cast<unsigned short>(port)};
+}
+
+tcp::acceptor listenAt(asio::io_context &context, const std::string &address)
+{
+    try {
+        const tcp::endpoint endpoint = endpointOf(address);
+        tcp::acceptor acceptor(context, endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen(BACKLOG);
+        return acceptor;
+    } catch (const boost::system::system_error &problem) {
+        throw std::runtime_error("cannot listen at " + address + ": " + problem.what());
+    }
+}
+
+}
+
+front_server::front_server(traffic_state &state)
+    : m_state(state)
+    , m_front(listenAt(state.context, state.settings.frontAddress))
+    , m_ready(listenAt(state.context, state.settings.readyAddress))
+{
+}
+
+void front_server::start()
+{
+    asio::co_spawn(m_state.context, acceptClients(), asio::detached);
+    asio::co_spawn(m_state.context, acceptChecks(), asio::detached);
+}
+
+asio::awaitable<void> front_server::acceptClients()
+{
+    asio::steady_timer pause(m_state.context);
+    while (m_front.is_open()) {
+        error_code error;
+        tcp::socket socket(m_state.context);
+        co_await m_front.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            logLine(log_level::warning, "accept_failed", {{"error", error.message()}});
+            pause.expires_after(ACCEPT_RETRY);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        m_state.counters.count("client_connections");
+        auto session = std::make_shared<caller_session>(m_state, std::move(socket));
+        if (m_sessions.size() > SWEEP_SESSIONS) {
+            std::erase_if(m_sessions, [](const auto &known) { return known.expired(); });
+        }
+        m_sessions.push_back(session);
+        asio::co_spawn(m_state.context, session->run(), asio::detached);
+    }
+}
+
+asio::awaitable<void> front_server::acceptChecks()
+{
+    while (m_ready.is_open()) {
+        error_code error;
+        tcp::socket socket(m_state.context);
+        co_await m_ready.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (!error) {
+            asio::co_spawn(m_state.context, answerCheck(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> front_server::answerCheck(tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    error_code error;
+    while (!error) {
+        http::request<http::empty_body> check;
+        stream.expires_after(CHECK_TIMEOUT);
+        co_await http::async_read(stream, buffer, check, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            break; // the checker is done
+        }
+        const bool ready = m_state.ready();
+        if (ready != m_wasReady) {
+            m_wasReady = ready;
+            logLine(log_level::info, ready ? "ready" : "not_ready", {{"draining", m_state.draining ? "yes" : "no"}});
+        }
+        const std::string answer = ready ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" : "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(stream, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void front_server::beginDrain()
+{
+    m_state.draining = true;
+}
+
+void front_server::closeIdle()
+{
+    for (const auto &known : m_sessions) {
+        if (const auto session = known.lock()) {
+            session->closeWhenIdle();
+        }
+    }
+}
+
+void front_server::stopAccepting()
+{
+    error_code ignored; // listening ends either way
+    m_front.close(ignored);
+}
+
+}
--- /dev/null
+++ b/src/gateway/front_server.h
@@ -0,0 +1,37 @@
+#pragma once
+
+// Listeners for clients and for readiness checks, on the traffic thread.
+
+#include "gateway/caller_session.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace chestnut
+{
+
+class front_server
+{
+public:
+    // Throws std::runtime_error if an address cannot be bound.
+    explicit front_server(traffic_state &state);
+    void start();
+    // Readiness checks fail from now on; answers close their connections.
+    void beginDrain();
+    // Closes idle client connections.
+    void closeIdle();
+    // Stops listening for clients.
+    void stopAccepting();
+
+private:
+    asio::awaitable<void> acceptClients();
+    asio::awaitable<void> acceptChecks();
+    asio::awaitable<void> answerCheck(asio::ip::tcp::socket socket);
+
+    traffic_state &m_state;
+    asio::ip::tcp::acceptor m_front;
+    asio::ip::tcp::acceptor m_ready;
+    std::vector<std::weak_ptr<caller_session>> m_sessions; // some may have ended
+    bool m_wasReady = false;
+};
+
+}
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,42 @@
+#include "gateway/gateway_settings.h"
+
+#include "kernel/log.h"
+
+namespace chestnut
+{
+
+const setting_row<gateway_settings> GATEWAY_SETTINGS[16] = {
+    {"instance.name", &gateway_settings::name, 1, 100, "text", "instance name, unique in the deployment"},
+    {"instance.failure_domain", &gateway_settings::failureDomain, 1, 100, "text", "failure domain of this instance"},
+    {"instance.front", &gateway_settings::frontAddress, 9, 21, "IP:port", "address for clients"},
+    {"instance.ready", &gateway_settings::readyAddress, 9, 21, "IP:port", "address for readiness checks"},
+    {"instance.metrics", &gateway_settings::metricsAddress, 9, 21, "IP:port", "address for metrics"},
+    {"instance.drain_limit", &gateway_settings::drainLimit, 0, 600000, "ms", "longest wait for requests in flight at shutdown"},
+    {"platform.adapter", &gateway_settings::platformAdapter, 1, 50, "plug-in", "adapter for the platform"},
+    {"platform.url", &gateway_settings::platformUrl, 1, 300, "URL", "the platform's store"},
+    {"repeats.ratio", &gateway_settings::repeatRatio, 0, 10, "repeats per request", "part of the repeats' budget that follows the traffic"},
+    {"repeats.extra", &gateway_settings::repeatExtra, 0, 1e6, "repeats", "part of the budget that is always there, all instances together"},
+    {"repeats.window", &gateway_settings::repeatWindow, 100, 600000, "ms", "window of the budget"},
+    {"repeats.instances", &gateway_settings::expectedInstances, 1, 10000, "instances", "share the extra repeats equally"},
+    {"backend.stall_timeout", &gateway_settings::stallTimeout, 100, 600000, "ms", "servers cut work that waits so long for a lost stage"},
+    {"log.format", &gateway_settings::logFormat, 4, 4, "word", "text or json"},
+    {"log.level", &gateway_settings::logLevel, 4, 7, "word", "debug, info, warning or error"},
+    {"log.lines_per_second", &gateway_settings::logLinesPerSecond, 1, 100000, "lines/s", "further lines of requests are counted, not written"},
+};
+
+void checkSettings(const gateway_settings &settings)
+{
+    if (settings.platformUrl.empty()) {
+        throw settings_error("platform.url: missing (allowed: URL of the platform's store)");
+    }
+    if (settings.logFormat != "text" && settings.logFormat != "json") {
+        throw settings_error("log.format: '" + settings.logFormat + "' (allowed: text, json)");
+    }
+    try {
+        parseLogLevel(settings.logLevel);
+    } catch (const std::invalid_argument &problem) {
+        throw settings_error(std::string("log.level: ") + problem.what());
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/generation_flow.cpp
@@ -0,0 +1,359 @@
+#include "gateway/generation_flow.h"
+
+#include "gateway/one_shot.h"
+#include "kernel/scope.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr milliseconds CONNECT_TIMEOUT{150}; // a server in the same region answers in a few ms
+constexpr milliseconds FIRST_PATIENCE{350};  // silence before the first event that starts an inquiry
+constexpr milliseconds EVENT_PATIENCE{150};  // silence between two events that does
+constexpr milliseconds REPORT_WAIT{250};     // a first server that does not report by then counts as lost
+constexpr milliseconds ORDER_WAIT{400};
+constexpr milliseconds SHORTEST_RUN{200};  // with less time left no run is begun
+constexpr milliseconds BUSY_RETRY{1200};   // a place is expected free after the mean answer time
+constexpr milliseconds NO_PATH_RETRY{900}; // a lost stage is replaced or back after that
+constexpr int MOST_TRIES = 6;              // paths tried for one request
+constexpr int MOST_SILENCES = 12;          // inquiries in a row that find nothing
+constexpr std::size_t MOST_FAILURE_BYTES = std::size_t(1) << 20;
+
+}
+
+const service_profile *generation_flow::service() const
+{
+    const auto found = m_facts.config->services.find(m_facts.service);
+    return found == m_facts.config->services.end() || !found->second.engine || found->second.engine->layers <= 0 ? nullptr : &found->second;
+}
+
+asio::awaitable<void> generation_flow::run()
+{
+    if (service() == nullptr) {
+        co_await refuse(503, "no_engine", NO_PATH_RETRY);
+        co_return;
+    }
+    repeat_budget &budget = m_state.budgetOf(m_facts.service);
+    budget.countFirst(std::chrono::steady_clock::now());
+    const char *reason = "no_path";
+    for (int tries = 0; tries < MOST_TRIES && !m_abandoned; ++tries) {
+        const steady_time now = std::chrono::steady_clock::now();
+        if (m_facts.deadline - now < SHORTEST_RUN) {
+            reason = "deadline";
+            break;
+        }
+        if (tries > 0 && !budget.takeRepeat(now)) {
+            reason = "repeat_budget";
+            break;
+        }
+        auto path = m_state.choosePath(*service(), m_facts.tokens, m_avoided, now);
+        if (!path) {
+            reason = tries == 0 ? "no_path" : "no_other_path";
+            break;
+        }
+        m_outcome.servers += (m_outcome.servers.empty() ? "" : ",") + path->front().server.text;
+        const run_result result = co_await runOnce(*path);
+        if (m_abandoned || result == run_result::gone || result == run_result::complete || result == run_result::passed_on) {
+            co_return;
+        }
+        reason = result == run_result::not_run ? "not_run" : "stream_broken";
+        if (result == run_result::broken && !mayRunAgain()) {
+            break;
+        }
+    }
+    if (!m_abandoned) {
+        co_await finishFailed(reason);
+    }
+}
+
+bool generation_flow::mayRunAgain() const
+{
+    return m_facts.matched->resumable && m_outcome.runs < m_facts.matched->maxAttempts + m_lostRuns;
+}
+
+asio::awaitable<void> generation_flow::finishFailed(const char *reason)
+{
+    if (m_began) {
+        m_outcome.reason = reason;
+        m_outcome.cut = true;
+        m_sink.cut();
+        co_return;
+    }
+    if (m_outcome.runs == 0) {
+        co_await refuse(503, reason, m_outcome.refused > 0 ? BUSY_RETRY : NO_PATH_RETRY);
+        co_return;
+    }
+    co_await refuse(overdue() ? 504 : 502, reason);
+}
+
+void generation_flow::avoid(const std::string &address, failure_kind kind)
+{
+    noteFailure(address, kind);
+    if (std::find(m_avoided.begin(), m_avoided.end(), address) == m_avoided.end()) {
+        m_avoided.push_back(address);
+    }
+}
+
+// A refusal names the server at fault, which need not be the first one of the path.
+void generation_flow::noteRefusal(const answer_head &head, const std::string &address)
+{
+    ++m_outcome.refused;
+    const std::string faulty(headerValue(head.headers, m_state.words.faultyStage));
+    avoid(faulty.empty() ? address : faulty, failure_kind::refused);
+    logLine(log_level::debug, "path_refused", {{"request", m_facts.id}, {"status", std::to_string(head.status)}, {"at", faulty}, {"first", address}});
+}
+
+asio::awaitable<generation_flow::run_result> generation_flow::runOnce(const std::vector<path_stage> &path)
+{
+    m_path = path;
+    m_load = std::make_unique<path_load>(m_state.health, path, m_facts.tokens);
+    m_splitter = event_splitter();
+    m_exchange = std::make_shared<upstream_exchange>(m_state.pool, path.front().address);
+    const std::shared_ptr<upstream_exchange> exchange = m_exchange;
+    const scope_guard release([this] {
+        m_exchange.reset();
+        m_load.reset();
+    });
+    const steady_time start = std::chrono::steady_clock::now();
+    exchange_status status = co_await exchange->connect(false, std::min<steady_time>(m_facts.deadline, start + CONNECT_TIMEOUT));
+    if (m_abandoned) {
+        co_return run_result::gone;
+    }
+    if (status != exchange_status::ok) {
+        avoid(path.front().address, failure_kind::unreachable);
+        co_return run_result::not_run;
+    }
+    header_list extra{{m_state.words.path, m_state.port.encodePath(path)}};
+    if (m_lastId) {
+        extra.emplace_back(m_state.words.lastEventId, std::to_string(*m_lastId));
+    }
+    listed_server first;
+    first.id = path.front().server;
+    const std::string bytes = encodeRequest(first, extra, start);
+    m_silences = 0;
+    m_lastProgress = std::chrono::steady_clock::now();
+    const auto watch = std::make_shared<run_watch>(m_state.context);
+    const scope_guard endWatch([watch] {
+        watch->ended = true;
+        watch->timer.cancel();
+    });
+    status = co_await exchange->send(bytes, m_facts.deadline);
+    if (status == exchange_status::ok) {
+        asio::co_spawn(m_state.context, watchRun(watch, exchange), asio::detached);
+        status = co_await exchange->readHead(m_state.words.requestId, m_facts.id, m_facts.deadline);
+    }
+    if (m_abandoned) {
+        co_return run_result::gone;
+    }
+    if (status != exchange_status::ok) {
+        ++m_outcome.runs;
+        co_return lostRun(path.front().address, status);
+    }
+    m_lastProgress = std::chrono::steady_clock::now();
+    co_return co_await takeAnswer(*exchange, path);
+}
+
+// Finds out about silence: while the run makes no progress, asks what it waits for and mends it or gives the run up.
+asio::awaitable<void> generation_flow::watchRun(std::shared_ptr<run_watch> watch, std::shared_ptr<upstream_exchange> exchange)
+{
+    const auto self = shared_from_this();
+    while (!watch->ended && !m_abandoned) {
+        const steady_time until = m_lastProgress + patience();
+        if (std::chrono::steady_clock::now() < until) {
+            boost::system::error_code ignored; // cancelled at the end of the run
+            watch->timer.expires_at(until);
+            co_await watch->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        }
+        const bool goOn = co_await mend(*exchange);
+        if (watch->ended || m_abandoned) {
+            co_return;
+        }
+        if (!goOn) {
+            watch->givenUp = true;
+            exchange->abort();
+            co_return;
+        }
+        m_lastProgress = std::chrono::steady_clock::now();
+    }
+}
+
+generation_flow::run_result generation_flow::lostRun(const std::string &address, exchange_status status)
+{
+    if (overdue()) {
+        return run_result::broken;
+    }
+    ++m_lostRuns;
+    if (status != exchange_status::aborted) { // the watch has already found the server at fault
+        avoid(address, status == exchange_status::timed_out ? failure_kind::silent : failure_kind::broken);
+    }
+    return run_result::broken;
+}
+
+asio::awaitable<generation_flow::run_result> generation_flow::takeAnswer(upstream_exchange &exchange, const std::vector<path_stage> &path)
+{
+    const answer_head &head = exchange.head();
+    noteLoad(head, path.front().address);
+    if (saysNotRun(head)) {
+        noteRefusal(head, path.front().address);
+        std::string ignored;
+        co_await exchange.readBody(ignored, MOST_FAILURE_BYTES, std::chrono::steady_clock::now() + CONNECT_TIMEOUT);
+        co_return m_abandoned ? run_result::gone : run_result::not_run;
+    }
+    ++m_outcome.runs;
+    if (head.status < 200 || head.status >= 300) {
+        co_return co_await forwardWhole(exchange);
+    }
+    const bool spoilt = !headerValue(head.headers, "Content-Encoding").empty() || headerValue(head.headers, m_state.words.signature).empty();
+    if (spoilt) {
+        avoid(path.front().address, failure_kind::broken);
+        co_return run_result::broken;
+    }
+    co_return co_await relay(exchange);
+}
+
+// A failure answer of the server: passed on unless the stream has begun.
+asio::awaitable<generation_flow::run_result> generation_flow::forwardWhole(upstream_exchange &exchange)
+{
+    noteFailure(exchange.address(), failure_kind::error);
+    std::string body;
+    const exchange_status status = co_await exchange.readBody(body, MOST_FAILURE_BYTES, m_facts.deadline);
+    if (m_abandoned) {
+        co_return run_result::gone;
+    }
+    if (status != exchange_status::ok || m_began) {
+        co_return run_result::broken;
+    }
+    m_outcome.reason = "server_failure";
+    co_await passOn(exchange.head(), body);
+    co_return run_result::passed_on;
+}
+
+// Grows with each inquiry that found nothing, so that a queue at the server does not cause a stream of them.
+milliseconds generation_flow::patience() const
+{
+    return (m_splitter.events() == 0 ? FIRST_PATIENCE : EVENT_PATIENCE) * (1 + m_silences);
+}
+
+asio::awaitable<generation_flow::run_result> generation_flow::relay(upstream_exchange &exchange)
+{
+    if (!m_began) {
+        m_headers = exchange.head().headers;
+    }
+    std::string piece;
+    while (true) {
+        const exchange_status status = co_await exchange.readPiece(piece, m_facts.deadline);
+        if (m_abandoned) {
+            co_return run_result::gone;
+        }
+        if (status != exchange_status::ok) {
+            co_return lostRun(exchange.address(), status);
+        }
+        if (piece.empty()) {
+            break;
+        }
+        m_lastProgress = std::chrono::steady_clock::now();
+        const std::string events = m_splitter.feed(piece);
+        if (!events.empty() && !co_await forwardEvents(events)) {
+            co_return run_result::gone;
+        }
+    }
+    if (m_splitter.pendingBytes() > 0) {
+        avoid(exchange.address(), failure_kind::broken);
+        co_return run_result::broken; // the answer ended in the middle of an event
+    }
+    m_state.health.noteSuccess(exchange.address());
+    if (!m_began) {
+        m_began = true;
+        if (!co_await m_sink.beginStream(exchange.head().status, m_headers)) {
+            co_return run_result::gone;
+        }
+    }
+    m_outcome.reason = "complete";
+    co_await m_sink.finishStream();
+    co_return run_result::complete;
+}
+
+asio::awaitable<bool> generation_flow::forwardEvents(const std::string &events)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (m_began) {
+        m_outcome.longestGap = std::max(m_outcome.longestGap, std::chrono::duration_cast<milliseconds>(now - m_lastEvent));
+    } else {
+        m_began = true;
+        m_outcome.status = m_exchange->head().status;
+        m_outcome.firstByte = std::chrono::duration_cast<milliseconds>(now - m_facts.accepted);
+        if (!co_await m_sink.beginStream(m_outcome.status, m_headers)) {
+            co_return false;
+        }
+    }
+    m_lastEvent = now;
+    m_silences = 0;
+    m_lastId = m_splitter.lastId();
+    m_outcome.events = m_splitter.events();
+    co_return co_await m_sink.writeStream(events);
+}
+
+asio::awaitable<bool> generation_flow::mend(upstream_exchange &exchange)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    for (const path_stage &stage : m_path) {
+        if (stage.address != m_path.front().address && m_state.health.avoided(stage.address, now)) {
+            co_return co_await repath(stage.address);
+        }
+    }
+    auto answer = std::make_shared<one_shot<server_report>>(m_state.context, now + REPORT_WAIT);
+    m_state.control.fetchReport(m_path.front().address, m_path.front().server, [answer](server_report report) { answer->set(std::move(report)); });
+    const std::optional<server_report> report = co_await answer->wait();
+    if (m_abandoned) {
+        co_return false;
+    }
+    if (!report || !report->ok) {
+        avoid(exchange.address(), failure_kind::silent);
+        co_return false;
+    }
+    const auto stalled = report->stalledRequests.find(m_facts.id);
+    if (stalled == report->stalledRequests.end() || stalled->second.empty()) {
+        co_return ++m_silences < MOST_SILENCES;
+    }
+    avoid(stalled->second, failure_kind::silent);
+    co_return co_await repath(stalled->second);
+}
+
+asio::awaitable<bool> generation_flow::repath(const std::string &lostAddress)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    const auto lost = std::find_if(m_path.begin(), m_path.end(), [&](const path_stage &stage) { return stage.address == lostAddress; });
+    if (lost == m_path.end() || lost == m_path.begin() || service() == nullptr) {
+        co_return false;
+    }
+    const auto replacement = m_state.chooseReplacement(*service(), lost->range, m_facts.tokens, m_path, m_avoided, now);
+    if (!replacement) {
+        co_return false;
+    }
+    std::vector<path_stage> path(m_path.begin(), lost);
+    path.insert(path.end(), replacement->begin(), replacement->end());
+    path.insert(path.end(), lost + 1, m_path.end());
+    auto answer = std::make_shared<one_shot<order_outcome>>(m_state.context, now + ORDER_WAIT);
+    m_state.control.orderRepath(path.front().address, path.front().server, m_facts.id, path,
+                                [answer](order_outcome outcome, const std::string &) { answer->set(outcome); });
+    const std::optional<order_outcome> outcome = co_await answer->wait();
+    const bool moved = outcome == order_outcome::begun;
+    logLine(log_level::info, "stream_moved",
+            {{"request", m_facts.id}, {"lost", lostAddress}, {"moved", moved ? "yes" : "no"}, {"stages", std::to_string(path.size())}});
+    if (moved) {
+        ++m_outcome.repaths;
+        m_path = path;
+        m_load->move(path);
+    }
+    co_return moved;
+}
+
+}
--- /dev/null
+++ b/src/gateway/main.cpp
@@ -0,0 +1,193 @@
+// chestnutgw-gateway: carries clients' requests on the users' platform. Wiring only; see docs/DESIGN.md for the parts.
+
+#include "gateway/control_plane.h"
+#include "gateway/front_server.h"
+#include "kernel/http_server.h"
+#include "kernel/registry.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <charconv>
+
+namespace
+{
+
+using namespace chestnut;
+
+constexpr milliseconds DRAIN_STEP{50};
+constexpr milliseconds IDLE_CLOSE{2300}; // the balancer has missed two checks by then
+constexpr seconds DROP_REPORT{5};        // interval of the line that tells how many lines were dropped
+
+using platform_plugins = plugin_registry<platform_port, event_loop &, const std::string &, metrics &>;
+
+http_server_options metricsOptions(const std::string &address)
+{
+    http_server_options options;
+    const std::size_t colon = address.rfind(':');
+    options.address = address.substr(0, colon);
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(), options.port);
+    options.maxConnections = 16;
+    return options;
+}
+
+// All parts of one gateway process, in the order in which they depend on each other.
+class gateway_process
+{
+public:
+    explicit gateway_process(const gateway_settings &settings)
+        : m_control("control")
+        , m_port(platform_plugins::instance().make(settings.platformAdapter, m_control, settings.platformUrl, m_counters))
+        , m_state(m_context, settings, m_counters, *m_port)
+        , m_front(m_state)
+        , m_plane(m_control, *m_port, m_counters, settings, planeHandler())
+        , m_metrics(metricsOptions(settings.metricsAddress), [this](const std::shared_ptr<http_call> &call) { answerMetrics(*call); })
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+        , m_drainTimer(m_context)
+        , m_dropTimer(m_context)
+    {
+        m_state.control = controlCalls();
+    }
+
+    void run()
+    {
+        m_front.start();
+        m_plane.start();
+        awaitSignal();
+        reportDropped();
+        m_context.run();
+    }
+
+private:
+    control_handler planeHandler();
+    control_calls controlCalls();
+    void answerMetrics(http_call &call);
+    void awaitSignal();
+    void drainStep();
+    void reportDropped();
+
+    asio::io_context m_context{1};
+    metrics m_counters;
+    event_loop m_control;
+    std::unique_ptr<platform_port> m_port;
+    traffic_state m_state;
+    front_server m_front;
+    control_plane m_plane;
+    http_server m_metrics;
+    asio::signal_set m_signals;
+    asio::steady_timer m_drainTimer;
+    asio::steady_timer m_dropTimer;
+    steady_time m_drainBegan{};
+    bool m_idleClosed = false;
+};
+
+control_handler gateway_process::planeHandler()
+{
+    control_handler handler;
+    handler.onConfig
+        = [this](std::shared_ptr<const gateway_config> config) { asio::post(m_context, [this, config = std::move(config)] { m_state.config = config; }); };
+    handler.onFleet
+        = [this](std::shared_ptr<const fleet_snapshot> fleet) { asio::post(m_context, [this, fleet = std::move(fleet)] { m_state.fleet = fleet; }); };
+    return handler;
+}
+
+// Calls go to the control thread; their answers come back to the traffic thread.
+control_calls gateway_process::controlCalls()
+{
+    control_calls calls;
+    calls.fetchReport = [this](const std::string &address, const server_id &server, std::function<void(server_report)> done) {
+        m_control.post([this, address, server, done = std::move(done)] {
+            m_port->fetchReport(address, server, [this, done](server_report report) {
+                asio::post(m_context, [done, report = std::move(report)]() mutable { done(std::move(report)); });
+            });
+        });
+    };
+    calls.orderRepath = [this](const std::string &address, const server_id &server, const std::string &request, const std::vector<path_stage> &path,
+                               std::function<void(order_outcome, std::string)> done) {
+        m_control.post([this, address, server, request, path, done = std::move(done)] {
+            m_port->orderRepath(address, server, request, path, [this, done](order_outcome outcome, std::string faulty) {
+                asio::post(m_context, [done, outcome, faulty = std::move(faulty)]() mutable { done(outcome, std::move(faulty)); });
+            });
+        });
+    };
+    return calls;
+}
+
+void gateway_process::answerMetrics(http_call &call)
+{
+    http_response response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = m_counters.expose();
+    call.respond(std::move(response));
+}
+
+void gateway_process::awaitSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error) {
+            return; // the process is ending
+        }
+        if (signal == SIGHUP) {
+            logLine(log_level::info, "reload_asked", {{"effect", "none: addresses and limits are fixed at start"}});
+            awaitSignal();
+            return;
+        }
+        logLine(log_level::info, "stop_asked", {{"signal", std::to_string(signal)}, {"open_requests", std::to_string(m_state.openRequests)}});
+        m_drainBegan = std::chrono::steady_clock::now();
+        m_front.beginDrain();
+        drainStep();
+    });
+}
+
+// Requests go on being served until the balancer sends no more and those in flight have ended.
+void gateway_process::drainStep()
+{
+    const auto elapsed = std::chrono::steady_clock::now() - m_drainBegan;
+    if (!m_idleClosed && elapsed >= IDLE_CLOSE) {
+        m_idleClosed = true;
+        m_front.closeIdle();
+    }
+    const bool done = m_idleClosed && m_state.openRequests == 0 && elapsed >= IDLE_CLOSE + DRAIN_STEP * 4;
+    if (done || elapsed >= m_state.settings.drainLimit) {
+        logLine(log_level::info, "stopped", {{"open_requests", std::to_string(m_state.openRequests)}});
+        m_context.stop();
+        return;
+    }
+    m_drainTimer.expires_after(DRAIN_STEP);
+    m_drainTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            drainStep();
+        }
+    });
+}
+
+void gateway_process::reportDropped()
+{
+    if (const std::uint64_t dropped = m_state.lines.takeDropped(); dropped > 0) {
+        m_counters.count("log_lines_dropped", {}, static_cast<double>(dropped));
+        logLine(log_level::warning, "log_lines_dropped", {{"lines", std::to_string(dropped)}});
+    }
+    m_dropTimer.expires_after(DROP_REPORT);
+    m_dropTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            reportDropped();
+        }
+    });
+}
+
+int serve(const gateway_settings &settings)
+{
+    startLog("gateway", settings.logFormat, parseLogLevel(settings.logLevel), log_target::standard_output);
+    logLine(log_level::info, "start", {{"instance", settings.name}, {"domain", settings.failureDomain}, {"front", settings.frontAddress}});
+    gateway_process process(settings);
+    process.run();
+    return 0;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    return runProgram(argc, argv, "chestnutgw-gateway", "carries clients' requests on the users' platform", GATEWAY_SETTINGS, serve);
+}
--- /dev/null
+++ b/src/gateway/one_shot.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// A value that a coroutine waits for and a callback on the same thread sets, or a timeout passes.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+
+namespace chestnut
+{
+
+template <typename value>
+class one_shot
+{
+public:
+    one_shot(boost::asio::io_context &context, std::chrono::steady_clock::time_point until)
+        : m_timer(context, until)
+    {
+    }
+    void set(value given)
+    {
+        if (!m_value) {
+            m_value = std::move(given);
+            m_timer.cancel();
+        }
+    }
+    // The value, or nothing after the timeout.
+    boost::asio::awaitable<std::optional<value>> wait()
+    {
+        boost::system::error_code ignored; // set() ends the wait by cancelling it
+        if (!m_value) {
+            co_await m_timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
+        co_return m_value;
+    }
+
+private:
+    boost::asio::steady_timer m_timer;
+    std::optional<value> m_value;
+};
+
+}
--- /dev/null
+++ b/src/gateway/plain_flow.cpp
@@ -0,0 +1,166 @@
+#include "gateway/plain_flow.h"
+
+#include "kernel/scope.h"
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr std::size_t MOST_ANSWER_BYTES = std::size_t(16) << 20;
+constexpr milliseconds CONNECT_TIMEOUT{300};
+constexpr milliseconds SHORTEST_TRY{20};   // with less time left no server is asked
+constexpr milliseconds REFUSED_RETRY{250}; // places are free again after a few answers
+constexpr milliseconds SHORTEST_PATIENCE{150};
+constexpr int PATIENCE_OBJECTIVES = 2; // a silent server is left after so many latency objectives
+constexpr int MOST_UNSENT_TRIES = 3;   // servers that could not be reached or did not run it
+
+}
+
+asio::awaitable<void> plain_flow::run()
+{
+    std::vector<std::string> tried;
+    repeat_budget &budget = m_state.budgetOf(m_facts.service);
+    budget.countFirst(std::chrono::steady_clock::now());
+    int unsent = 0;
+    const char *reason = "no_server";
+    while (!m_abandoned) {
+        const steady_time now = std::chrono::steady_clock::now();
+        const auto servers = m_state.plainServers(m_facts.service, tried, now);
+        const bool late = m_facts.deadline - now < SHORTEST_TRY;
+        const bool repeatAllowed = tried.empty() || budget.left(now) >= 1;
+        if (servers.empty() || late || !repeatAllowed || unsent > MOST_UNSENT_TRIES) {
+            reason = late ? "deadline" : servers.empty() ? reason : !repeatAllowed ? "repeat_budget" : reason;
+            break;
+        }
+        if (!tried.empty()) {
+            budget.takeRepeat(now);
+        }
+        const listed_server server = *servers.front();
+        tried.push_back(server.address);
+        m_outcome.servers += (m_outcome.servers.empty() ? "" : ",") + server.id.text;
+        const try_result result = co_await tryServer(server);
+        if (m_abandoned) {
+            co_return;
+        }
+        if (result == try_result::answered && !(m_head.status >= 500 && mayRepeat())) {
+            co_await passOn(m_head, m_body);
+            co_return;
+        }
+        if (result == try_result::not_run) {
+            ++unsent;
+            reason = "not_run";
+            continue;
+        }
+        reason = result == try_result::answered ? "server_error" : "answer_lost";
+        if (!mayRepeat()) {
+            break;
+        }
+    }
+    if (m_abandoned) {
+        co_return;
+    }
+    if (m_outcome.runs == 0) {
+        if (m_hasRefusal && m_head.status != 421) {
+            m_outcome.reason = "server_refused";
+            co_await passOn(m_head, m_body);
+            co_return;
+        }
+        co_await refuse(503, reason, REFUSED_RETRY);
+        co_return;
+    }
+    if (m_hasAnswer) {
+        co_await passOn(m_head, m_body); // the server's own failure, after no better one
+        co_return;
+    }
+    co_await refuse(overdue() ? 504 : 502, reason);
+}
+
+bool plain_flow::mayRepeat() const
+{
+    return m_facts.matched->kind == route_kind::safe && m_outcome.runs < m_facts.matched->maxAttempts;
+}
+
+// A repeatable request leaves a silent server early enough to be answered by another one.
+steady_time plain_flow::tryUntil(steady_time start) const
+{
+    const route &matched = *m_facts.matched;
+    const bool lastTry = matched.kind != route_kind::safe || m_outcome.runs + 1 >= matched.maxAttempts;
+    const auto patience = std::max(SHORTEST_PATIENCE, matched.objective * PATIENCE_OBJECTIVES);
+    return lastTry ? m_facts.deadline : std::min<steady_time>(m_facts.deadline, start + patience);
+}
+
+// Bytes that are not what the server meant to say.
+bool plain_flow::isSpoilt() const
+{
+    const bool encoded = !headerValue(m_head.headers, "Content-Encoding").empty();
+    const bool unsignedSuccess = m_head.status < 300 && headerValue(m_head.headers, m_state.words.signature).empty();
+    return encoded || unsignedSuccess;
+}
+
+asio::awaitable<plain_flow::try_result> plain_flow::tryServer(const listed_server &server)
+{
+    const steady_time start = std::chrono::steady_clock::now();
+    const bool once = m_facts.matched->kind != route_kind::safe;
+    m_head = {};
+    m_body.clear();
+    m_hasRefusal = false;
+    m_hasAnswer = false;
+    m_exchange = std::make_shared<upstream_exchange>(m_state.pool, server.address);
+    const std::shared_ptr<upstream_exchange> exchange = m_exchange;
+    if (m_facts.message->method() == http::verb::head) {
+        exchange->expectNoBody();
+    }
+    ++m_state.health.of(server.address).running;
+    const scope_guard release([this, &server] {
+        --m_state.health.of(server.address).running;
+        m_exchange.reset();
+    });
+    const steady_time connectUntil = std::min(m_facts.deadline, start + CONNECT_TIMEOUT);
+    exchange_status status = co_await exchange->connect(once, connectUntil);
+    if (status != exchange_status::ok) {
+        if (!m_abandoned) {
+            noteFailure(server.address, failure_kind::unreachable);
+        }
+        co_return try_result::not_run;
+    }
+    if (m_abandoned) {
+        co_return try_result::not_run;
+    }
+    const std::string bytes = encodeRequest(server, {}, std::chrono::steady_clock::now());
+    const steady_time until = tryUntil(start);
+    status = co_await exchange->send(bytes, until);
+    if (status == exchange_status::ok) {
+        status = co_await exchange->readHead(m_state.words.requestId, m_facts.id, until);
+    }
+    if (status == exchange_status::ok) {
+        m_head = exchange->head();
+        noteLoad(m_head, server.address);
+        status = co_await exchange->readBody(m_body, MOST_ANSWER_BYTES, until);
+    }
+    if (status == exchange_status::ok && saysNotRun(m_head)) {
+        ++m_outcome.refused;
+        m_hasRefusal = true;
+        noteFailure(server.address, failure_kind::refused);
+        co_return try_result::not_run;
+    }
+    ++m_outcome.runs;
+    if (status != exchange_status::ok || isSpoilt()) {
+        if (!m_abandoned) {
+            noteFailure(server.address, status == exchange_status::timed_out ? failure_kind::silent : failure_kind::broken);
+        }
+        m_head = {};
+        m_body.clear();
+        co_return try_result::uncertain;
+    }
+    m_hasAnswer = true;
+    if (m_head.status >= 500) {
+        noteFailure(server.address, failure_kind::error);
+    } else {
+        m_state.health.noteSuccess(server.address);
+    }
+    co_return try_result::answered;
+}
+
+}
--- /dev/null
+++ b/src/gateway/request_flow.cpp
@@ -0,0 +1,161 @@
+#include "gateway/request_flow.h"
+
+#include "gateway/headers.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace chestnut
+{
+
+namespace
+{
+
+// Reads "running,waiting,places"; false if it is something else.
+bool parseLoad(std::string_view text, int &running, int &waiting)
+{
+    const char *end = text.data() + text.size();
+    const auto first = std::from_chars(text.data(), end, running);
+    if (first.ec != std::errc() || first.ptr == end || *first.ptr != ',') {
+        return false;
+    }
+    const auto second = std::from_chars(first.ptr + 1, end, waiting);
+    return second.ec == std::errc();
+}
+
+std::string fractionalSeconds(milliseconds value)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(value.count()) / 1000.0);
+    return text.data();
+}
+
+}
+
+std::string errorBody(const char *reason)
+{
+    return std::string("{\"error\":\"") + reason + "\"}\n";
+}
+
+header_list errorHeaders(const wire_vocabulary &words, const std::string &id, milliseconds retryAfter)
+{
+    header_list headers{{"Content-Type", "application/json"}};
+    if (!id.empty()) {
+        headers.emplace_back(words.requestId, id);
+    }
+    if (retryAfter.count() > 0) {
+        headers.emplace_back("Retry-After", fractionalSeconds(retryAfter));
+    }
+    return headers;
+}
+
+request_flow::request_flow(traffic_state &state, request_facts facts, answer_sink &sink)
+    : m_state(state)
+    , m_facts(std::move(facts))
+    , m_sink(sink)
+{
+}
+
+request_flow::~request_flow() = default;
+
+void request_flow::abandon()
+{
+    m_abandoned = true;
+    if (m_exchange) {
+        m_exchange->abort();
+    }
+}
+
+bool request_flow::overdue() const
+{
+    return std::chrono::steady_clock::now() >= m_facts.deadline;
+}
+
+std::string request_flow::encodeRequest(const listed_server &server, const header_list &extra, steady_time now) const
+{
+    const client_message &message = *m_facts.message;
+    const wire_vocabulary &words = m_state.words;
+    const std::string_view connection = viewOf(message[http::field::connection]);
+    std::string text;
+    text.reserve(1024 + message.body().size());
+    text.append(viewOf(message.method_string())).append(" ").append(viewOf(message.target())).append(" HTTP/1.1\r\n");
+    for (const auto &field : message) {
+        const std::string_view name = viewOf(field.name_string());
+        const bool ours = sameHeader(name, words.authorization) || sameHeader(name, words.account) || sameHeader(name, words.targetInstance)
+            || sameHeader(name, words.deadline) || sameHeader(name, words.path) || sameHeader(name, words.priority) || sameHeader(name, words.expectedVersion);
+        const bool replaced = std::any_of(extra.begin(), extra.end(), [name](const auto &header) { return sameHeader(name, header.first); });
+        if (ours || replaced || isConnectionHeader(name, connection)) {
+            continue;
+        }
+        text.append(name).append(": ").append(viewOf(field.value())).append("\r\n");
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(m_facts.deadline - now).count();
+    text += words.deadline + ": " + std::to_string(std::max<std::int64_t>(1, left)) + "\r\n";
+    text += words.targetInstance + ": " + server.id.text + "\r\n";
+    if (!m_facts.account.empty()) {
+        text += words.account + ": " + m_facts.account.text + "\r\n";
+    }
+    for (const auto &[name, value] : extra) {
+        text += name + ": " + value + "\r\n";
+    }
+    const bool hasBody = !message.body().empty() || message.has_content_length() || message.chunked();
+    if (hasBody || message.method() == http::verb::post || message.method() == http::verb::put) {
+        text += "Content-Length: " + std::to_string(message.body().size()) + "\r\n";
+    }
+    text += "\r\n";
+    text += message.body();
+    return text;
+}
+
+asio::awaitable<void> request_flow::refuse(int status, const char *reason, milliseconds retryAfter)
+{
+    m_outcome.status = status;
+    m_outcome.reason = reason;
+    const header_list headers = errorHeaders(m_state.words, m_facts.id, retryAfter);
+    const std::string body = errorBody(reason);
+    co_await m_sink.respond(status, headers, body);
+}
+
+asio::awaitable<void> request_flow::passOn(const answer_head &head, const std::string &body)
+{
+    m_outcome.status = head.status;
+    if (m_outcome.reason.empty()) {
+        m_outcome.reason = "answered";
+    }
+    m_outcome.firstByte = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_facts.accepted);
+    co_await m_sink.respond(head.status, head.headers, body);
+}
+
+bool request_flow::saysNotRun(const answer_head &head) const
+{
+    return head.status == 421 || !headerValue(head.headers, m_state.words.notRun).empty();
+}
+
+void request_flow::noteLoad(const answer_head &head, const std::string &address)
+{
+    int running = 0;
+    int waiting = 0;
+    if (parseLoad(headerValue(head.headers, m_state.words.serverLoad), running, waiting)) {
+        server_state &state = m_state.health.of(address);
+        state.reportedRunning = running;
+        state.reportedWaiting = waiting;
+        state.reportedAt = std::chrono::steady_clock::now();
+    }
+}
+
+void request_flow::noteFailure(const std::string &address, failure_kind kind)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    const bool before = m_state.health.avoided(address, now);
+    m_state.health.noteFailure(address, kind, now);
+    m_state.counters.count("server_failures", {{"kind", toText(kind)}});
+    if (!before && m_state.health.avoided(address, now)) {
+        logLine(log_level::info, "server_avoided", {{"address", address}, {"failure", toText(kind)}, {"request", m_facts.id}});
+    }
+    if (kind == failure_kind::unreachable || kind == failure_kind::silent) {
+        m_state.pool.forget(address);
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/traffic_state.cpp
@@ -0,0 +1,187 @@
+#include "gateway/traffic_state.h"
+
+#include <algorithm>
+#include <random>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr milliseconds REPORT_LIFE{1000}; // a reported load older than that says nothing
+constexpr double PASS_WAIT_MS = 1.2;      // mean wait for a pass under way, for each stage
+constexpr double DOMAIN_HOP_MS = 5.0;     // surcharge of a hop into another failure domain
+
+bool listed(const std::vector<std::string> &addresses, const std::string &address)
+{
+    return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+}
+
+}
+
+bool line_budget::take(steady_time now)
+{
+    if (now - m_second >= seconds(1)) {
+        m_second = now;
+        m_used = 0;
+    }
+    if (m_used >= m_perSecond) {
+        ++m_dropped;
+        return false;
+    }
+    ++m_used;
+    return true;
+}
+
+std::uint64_t line_budget::takeDropped()
+{
+    return std::exchange(m_dropped, 0);
+}
+
+traffic_state::traffic_state(asio::io_context &ioContext, const gateway_settings &gatewaySettings, metrics &gatewayCounters, const platform_port &platform)
+    : context(ioContext)
+    , settings(gatewaySettings)
+    , counters(gatewayCounters)
+    , port(platform)
+    , words(platform.vocabulary())
+    , pool(ioContext)
+    , random(std::hash<std::string>()(gatewaySettings.name))
+    , lines(gatewaySettings.logLinesPerSecond)
+{
+}
+
+repeat_budget &traffic_state::budgetOf(const service_id &service)
+{
+    const repeat_budget_limits limits{settings.repeatRatio, settings.repeatExtra / settings.expectedInstances, settings.repeatWindow};
+    return m_budgets.try_emplace(service, limits).first->second;
+}
+
+double traffic_state::draw()
+{
+    return std::generate_canonical<double, 32>(random);
+}
+
+std::vector<const listed_server *> traffic_state::plainServers(const service_id &service, const std::vector<std::string> &tried, steady_time now)
+{
+    struct rated
+    {
+        const listed_server *server;
+        double load;
+    };
+    std::vector<rated> usable;
+    std::vector<rated> avoided;
+    for (const auto &[id, server] : fleet->servers) {
+        if (server.service != service || server.draining || listed(tried, server.address)) {
+            continue;
+        }
+        const server_state &seen = health.of(server.address);
+        const bool fresh = seen.reportedRunning >= 0 && now - seen.reportedAt < REPORT_LIFE;
+        const double reported = fresh ? seen.reportedRunning + seen.reportedWaiting : 0;
+        const double ownDomain = server.domain.text == settings.failureDomain ? 0 : 0.05; // ties go to the own failure domain
+        const double load = std::max<double>(seen.running, reported * 0.5 + seen.running) / server.slots + ownDomain + draw() * 0.02;
+        (health.avoided(server.address, now) ? avoided : usable).push_back({&server, load});
+    }
+    std::vector<rated> &chosen = usable.empty() ? avoided : usable; // better a doubtful server than none
+    std::sort(chosen.begin(), chosen.end(), [](const rated &left, const rated &right) { return left.load < right.load; });
+    std::vector<const listed_server *> servers;
+    for (const rated &one : chosen) {
+        servers.push_back(one.server);
+    }
+    return servers;
+}
+
+std::vector<stage_candidate> traffic_state::candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now)
+{
+    const engine_profile &engine = *service.engine;
+    std::vector<stage_candidate> found;
+    for (const auto &[id, server] : fleet->servers) {
+        const auto kind = engine.kinds.find(server.accelerator);
+        const bool excluded = server.service != service.id || server.draining || kind == engine.kinds.end() || server.held.count() <= 0;
+        if (excluded || listed(avoid, server.address) || health.avoided(server.address, now)) {
+            continue;
+        }
+        stage_candidate candidate;
+        candidate.server = &server;
+        candidate.msPerLayer = engine.stepMs * kind->second.stepFactor / engine.layers;
+        candidate.roomTokens = engine.tokenRoom(kind->second, server.held.count());
+        candidate.usedTokens = health.of(server.address).tokens * settings.expectedInstances; // the others are taken to do as we do
+        found.push_back(candidate);
+    }
+    return found;
+}
+
+std::optional<std::vector<path_stage>> traffic_state::choosePath(const service_profile &service, double tokens, const std::vector<std::string> &avoid,
+                                                                 steady_time now)
+{
+    path_question question;
+    question.from = domain_id{settings.failureDomain};
+    question.layers = service.engine->layers;
+    question.tokens = tokens;
+    question.stageOverheadMs = PASS_WAIT_MS;
+    question.domainHopMs = DOMAIN_HOP_MS;
+    return findPath(candidates(service, avoid, now), question);
+}
+
+std::optional<std::vector<path_stage>> traffic_state::chooseReplacement(const service_profile &service, layer_range range, double tokens,
+                                                                        const std::vector<path_stage> &path, const std::vector<std::string> &avoid,
+                                                                        steady_time now)
+{
+    std::vector<std::string> excluded = avoid;
+    for (const path_stage &stage : path) {
+        excluded.push_back(stage.address);
+    }
+    // Layers count from the range's first one, so that the same search serves.
+    std::vector<stage_candidate> all = candidates(service, excluded, now);
+    std::vector<listed_server> shifted;
+    shifted.reserve(all.size());
+    for (stage_candidate &candidate : all) {
+        listed_server server = *candidate.server;
+        server.held = {std::max(0, server.held.first - range.first), std::min(server.held.last, range.last) - range.first};
+        shifted.push_back(server);
+        candidate.server = &shifted.back();
+    }
+    path_question question;
+    question.from = domain_id{settings.failureDomain};
+    question.layers = range.count();
+    question.tokens = tokens;
+    question.stageOverheadMs = PASS_WAIT_MS;
+    question.domainHopMs = DOMAIN_HOP_MS;
+    std::optional<std::vector<path_stage>> found = findPath(all, question);
+    if (found) {
+        for (path_stage &stage : *found) {
+            stage.range = {stage.range.first + range.first, stage.range.last + range.first};
+        }
+    }
+    return found;
+}
+
+path_load::path_load(server_health &health, const std::vector<path_stage> &path, double tokens)
+    : m_health(health)
+    , m_path(path)
+    , m_tokens(tokens)
+{
+    add(1);
+}
+
+path_load::~path_load()
+{
+    add(-1);
+}
+
+void path_load::move(const std::vector<path_stage> &path)
+{
+    add(-1);
+    m_path = path;
+    add(1);
+}
+
+void path_load::add(double sign)
+{
+    for (const path_stage &stage : m_path) {
+        server_state &state = m_health.of(stage.address);
+        state.tokens += sign * m_tokens;
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/upstream.cpp
@@ -0,0 +1,310 @@
+#include "gateway/upstream.h"
+
+#include "gateway/headers.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace chestnut
+{
+
+namespace
+{
+
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr milliseconds DEFAULT_REUSE{3000}; // of an idle connection whose server names no timeout
+constexpr milliseconds REUSE_MARGIN{700};   // before the server's own timeout
+constexpr milliseconds USER_TIMEOUT{1500};  // unacknowledged bytes end a connection
+constexpr std::size_t PIECE_BYTES = 16 * 1024;
+constexpr std::size_t ANSWER_HEADER_BYTES = 64 * 1024;
+constexpr std::size_t MOST_IDLE_PER_SERVER = 48;
+constexpr int MOST_SKIPPED_ANSWERS = 4; // interim ones and late ones to other requests
+
+// Only the error code matters here, so every wait goes through this token.
+auto into(error_code &error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    error_code error;
+    const asio::ip::address ip = asio::ip::make_address(address.substr(0, colon), error);
+    unsigned port = 0;
+    const char *begin = address.data() + colon + 1;
+    const char *end = address.data() + address.size();
+    if (error || std::from_chars(begin, end, port).ptr != end || port == 0 || port > 65535) {
+        return std::nullopt;
+    }
+    return tcp::endpoint(ip, static_cast<unsigned short>(port));
+}
+
+void setOption(int socket, int level, int name, int value)
+{
+    // A missing option costs only speed of detection.
+    (void)::setsockopt(socket, level, name, &value, sizeof value);
+}
+
+void tuneSocket(int socket)
+{
+    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(USER_TIMEOUT.count()));
+}
+
+// True if the peer has sent nothing and not closed: whatever waits here is not an answer to the next request.
+bool isQuiet(int socket)
+{
+    char byte = 0;
+    const ssize_t got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void closeNow(upstream_connection &connection)
+{
+    error_code ignored; // the connection is given up either way
+    connection.stream.socket().close(ignored);
+}
+
+}
+
+std::string_view headerValue(const header_list &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (sameHeader(key, name)) {
+            return value;
+        }
+    }
+    return {};
+}
+
+const char *toText(exchange_status status)
+{
+    static constexpr const char *NAMES[] = {"ok", "connect_failed", "timed_out", "broken", "aborted"};
+    return NAMES[static_cast<int>(status)];
+}
+
+//-----------------------------------------------------------------------------
+// Pool
+//-----------------------------------------------------------------------------
+
+std::unique_ptr<upstream_connection> upstream_pool::takeIdle(const std::string &address)
+{
+    auto &idle = m_idle[address];
+    const steady_time now = std::chrono::steady_clock::now();
+    while (!idle.empty()) {
+        std::unique_ptr<upstream_connection> connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->reusableUntil > now && isQuiet(connection->stream.socket().native_handle())) {
+            connection->reused = true;
+            return connection;
+        }
+        closeNow(*connection);
+    }
+    return nullptr;
+}
+
+void upstream_pool::giveBack(const std::string &address, std::unique_ptr<upstream_connection> connection)
+{
+    auto &idle = m_idle[address];
+    idle.push_back(std::move(connection));
+    if (idle.size() > MOST_IDLE_PER_SERVER) {
+        idle.pop_front();
+    }
+}
+
+void upstream_pool::forget(const std::string &address)
+{
+    m_idle.erase(address);
+}
+
+//-----------------------------------------------------------------------------
+// Exchange
+//-----------------------------------------------------------------------------
+
+upstream_exchange::upstream_exchange(upstream_pool &pool, std::string address)
+    : m_pool(pool)
+    , m_address(std::move(address))
+{
+}
+
+upstream_exchange::~upstream_exchange()
+{
+    if (!m_connection) {
+        return;
+    }
+    const bool clean = m_complete && !m_aborted && m_head.keepAlive && m_connection->buffer.size() == 0;
+    const bool open = m_connection->reusableUntil > std::chrono::steady_clock::now();
+    if (clean && open) {
+        m_connection->stream.expires_never();
+        m_pool.giveBack(m_address, std::move(m_connection));
+    } else {
+        closeNow(*m_connection);
+    }
+}
+
+void upstream_exchange::abort()
+{
+    m_aborted = true;
+    if (m_connection) {
+        closeNow(*m_connection);
+    }
+}
+
+exchange_status upstream_exchange::translate(error_code error)
+{
+    if (!error) {
+        return exchange_status::ok;
+    }
+    if (m_aborted) {
+        return exchange_status::aborted;
+    }
+    return error == beast::error::timeout ? exchange_status::timed_out : exchange_status::broken;
+}
+
+asio::awaitable<exchange_status> upstream_exchange::connect(bool fresh, steady_time until)
+{
+    if (!fresh) {
+        m_connection = m_pool.takeIdle(m_address);
+        if (m_connection) {
+            co_return exchange_status::ok;
+        }
+    }
+    const std::optional<tcp::endpoint> endpoint = parseEndpoint(m_address);
+    if (!endpoint) {
+        co_return exchange_status::connect_failed;
+    }
+    m_connection = std::make_unique<upstream_connection>(m_pool.context());
+    m_connection->stream.expires_at(until);
+    error_code error;
+    co_await m_connection->stream.async_connect(*endpoint, into(error));
+    if (error) {
+        co_return m_aborted ? exchange_status::aborted : exchange_status::connect_failed;
+    }
+    tuneSocket(m_connection->stream.socket().native_handle());
+    co_return exchange_status::ok;
+}
+
+asio::awaitable<exchange_status> upstream_exchange::send(const std::string &bytes, steady_time until)
+{
+    m_sent = true;
+    m_connection->stream.expires_at(until);
+    error_code error;
+    co_await asio::async_write(m_connection->stream, asio::buffer(bytes), into(error));
+    co_return translate(error);
+}
+
+asio::awaitable<exchange_status> upstream_exchange::readHead(const std::string &idHeader, const std::string &id, steady_time until)
+{
+    for (int skipped = 0; skipped <= MOST_SKIPPED_ANSWERS; ++skipped) {
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        m_parser->header_limit(ANSWER_HEADER_BYTES);
+        m_parser->skip(m_noBody);
+        m_connection->stream.expires_at(until);
+        error_code error;
+        co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, into(error));
+        if (error) {
+            co_return translate(error);
+        }
+        takeHead();
+        if (m_head.status < 200) {
+            continue;
+        }
+        const std::string_view echoed = headerValue(m_head.headers, idHeader);
+        if (echoed.empty() || echoed == id) {
+            setReusable();
+            co_return exchange_status::ok;
+        }
+        std::string other;
+        const exchange_status rest = co_await readBody(other, std::size_t(1) << 22, until);
+        if (rest != exchange_status::ok || !m_head.keepAlive) {
+            co_return rest == exchange_status::ok ? exchange_status::broken : rest;
+        }
+        m_complete = false;
+    }
+    co_return exchange_status::broken;
+}
+
+void upstream_exchange::takeHead()
+{
+    const auto &message = m_parser->get();
+    m_head = {};
+    m_head.status = static_cast<int>(message.result_int());
+    m_head.keepAlive = m_parser->keep_alive() && !m_parser->need_eof();
+    const std::string_view connection = viewOf(message[http::field::connection]);
+    for (const auto &field : message) {
+        const std::string name(field.name_string());
+        if (!isConnectionHeader(name, connection)) {
+            m_head.headers.emplace_back(name, std::string(field.value()));
+        }
+    }
+}
+
+void upstream_exchange::setReusable()
+{
+    milliseconds lifetime = DEFAULT_REUSE;
+    const std::string_view text = viewOf(m_parser->get()["Keep-Alive"]);
+    if (const std::size_t at = text.find("timeout="); at != std::string_view::npos) {
+        int timeout = 0;
+        std::from_chars(text.data() + at + 8, text.data() + text.size(), timeout);
+        lifetime = std::max(milliseconds(0), milliseconds(timeout * 1000) - REUSE_MARGIN);
+    }
+    m_connection->reusableUntil = std::chrono::steady_clock::now() + lifetime;
+}
+
+asio::awaitable<exchange_status> upstream_exchange::readPiece(std::string &piece, steady_time until)
+{
+    piece.clear();
+    std::array<char, PIECE_BYTES> room;
+    while (piece.empty() && !m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = room.data();
+        body.size = room.size();
+        m_connection->stream.expires_at(until);
+        error_code error;
+        co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, into(error));
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        piece.assign(room.data(), room.size() - body.size);
+        if (error) {
+            co_return translate(error);
+        }
+    }
+    m_complete = m_parser->is_done();
+    co_return exchange_status::ok;
+}
+
+asio::awaitable<exchange_status> upstream_exchange::readBody(std::string &body, std::size_t limit, steady_time until)
+{
+    std::string piece;
+    while (true) {
+        const exchange_status status = co_await readPiece(piece, until);
+        if (status != exchange_status::ok) {
+            co_return status;
+        }
+        body += piece;
+        if (piece.empty()) {
+            co_return exchange_status::ok;
+        }
+        if (body.size() > limit) {
+            co_return exchange_status::broken;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/upstream.h
@@ -0,0 +1,157 @@
+#pragma once
+
+// Connections to backend servers and one exchange on one of them (Boost.Beast). Nothing is ever sent twice by itself.
+// All on one thread.
+
+#include "kernel/ids.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chestnut
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+// Returns the value of a header, empty if there is none. Names compare without case.
+std::string_view headerValue(const header_list &headers, std::string_view name);
+
+// Boost's own view type does not convert by itself.
+inline std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+// An open connection to a server.
+struct upstream_connection
+{
+    explicit upstream_connection(asio::io_context &context)
+        : stream(context)
+    {
+    }
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;   // bytes received and not yet parsed
+    steady_time reusableUntil{}; // the server may close it from then on
+    bool reused = false;         // has carried an exchange before
+};
+
+// Idle connections, by address.
+class upstream_pool
+{
+public:
+    explicit upstream_pool(asio::io_context &context)
+        : m_context(context)
+    {
+    }
+    // An idle connection that has no byte waiting and is not closed, or null.
+    std::unique_ptr<upstream_connection> takeIdle(const std::string &address);
+    void giveBack(const std::string &address, std::unique_ptr<upstream_connection> connection);
+    // Closes the idle connections of a server: it may have forgotten them.
+    void forget(const std::string &address);
+    asio::io_context &context()
+    {
+        return m_context;
+    }
+
+private:
+    asio::io_context &m_context;
+    std::unordered_map<std::string, std::deque<std::unique_ptr<upstream_connection>>> m_idle;
+};
+
+// How a step of an exchange ended.
+enum class exchange_status
+{
+    ok,
+    connect_failed, // no byte of the request left
+    timed_out,
+    broken,  // connection lost, or bytes that are no answer
+    aborted, // by abort()
+};
+
+const char *toText(exchange_status status);
+
+struct answer_head
+{
+    int status = 0;
+    header_list headers; // as received, without those of the connection
+    bool keepAlive = false;
+};
+
+// One request and its answer. Steps are awaited one after the other; abort() may be called at any time.
+class upstream_exchange
+{
+public:
+    upstream_exchange(upstream_pool &pool, std::string address);
+    // Keeps the connection for reuse if the exchange is complete and clean, else closes it.
+    ~upstream_exchange();
+    upstream_exchange(const upstream_exchange &) = delete;
+    upstream_exchange &operator=(const upstream_exchange &) = delete;
+
+    // Takes an idle connection, or makes one.
+    asio::awaitable<exchange_status> connect(bool fresh, steady_time until);
+    asio::awaitable<exchange_status> send(const std::string &bytes, steady_time until);
+    // Reads the head of the answer to this request id; skips interim answers and late answers to other requests.
+    asio::awaitable<exchange_status> readHead(const std::string &idHeader, const std::string &id, steady_time until);
+    // Reads a piece of the body; empty with ok means that the answer is complete.
+    asio::awaitable<exchange_status> readPiece(std::string &piece, steady_time until);
+    // Reads the whole body.
+    asio::awaitable<exchange_status> readBody(std::string &body, std::size_t limit, steady_time until);
+
+    const answer_head &head() const
+    {
+        return m_head;
+    }
+    const std::string &address() const
+    {
+        return m_address;
+    }
+    bool onReusedConnection() const
+    {
+        return m_connection && m_connection->reused;
+    }
+    // True once bytes of the request may have left.
+    bool sent() const
+    {
+        return m_sent;
+    }
+    void abort();
+    // The answer to a HEAD request has no body, whatever its length says.
+    void expectNoBody()
+    {
+        m_noBody = true;
+    }
+
+private:
+    using head_parser = http::response_parser<http::buffer_body>;
+
+    exchange_status translate(boost::system::error_code error);
+    void takeHead();
+    void setReusable();
+
+    upstream_pool &m_pool;
+    std::string m_address;
+    std::unique_ptr<upstream_connection> m_connection;
+    std::optional<head_parser> m_parser;
+    answer_head m_head;
+    bool m_sent = false;
+    bool m_complete = false; // the answer was read to its end
+    bool m_aborted = false;
+    bool m_noBody = false;
+};
+
+}
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -78,13 +78,13 @@
     throw std::invalid_argument("log level must be debug, info, warning or error");
 }
 
-void startLog(const std::string &program, const std::string &format, log_level level)
+void startLog(const std::string &program, const std::string &format, log_level level, log_target target)
 {
     const std::lock_guard lock(state().mutex);
     state().program = program;
     state().json = format == "json";
     state().level = level;
-    boost::log::add_console_log(std::clog, boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
+    boost::log::add_console_log(target == log_target::standard_output ? std::cout : std::clog, boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
                                 boost::log::keywords::auto_flush = true);
 }
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -21,8 +21,14 @@
 
 using log_field = std::pair<std::string_view, std::string>;
 
-// Sets up logging to standard error. format is "text" (key=value) or "json".
-void startLog(const std::string &program, const std::string &format, log_level level);
+enum class log_target
+{
+    standard_error,
+    standard_output
+};
+
+// Sets up logging. format is "text" (key=value) or "json".
+void startLog(const std::string &program, const std::string &format, log_level level, log_target target = log_target::standard_error);
 
 // Changes the level while running.
 void setLogLevel(log_level level);
