Sessions outlive the start of their coroutine; failures of tasks are logged

Cause: a session was destroyed before its coroutine began (bad_weak_ptr), so that every connection was reset. Found by logging what ends a task.

--- a/src/gateway/front_server.cpp
+++ b/src/gateway/front_server.cpp
@@ -1,7 +1,7 @@
 #include "gateway/front_server.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "gateway/spawn.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -34,6 +34,12 @@
     return {asio::ip::make_address(address.substr(0, colon)), static_cast<unsigned short>(port)};
 }
 
+// Holds the session while its coroutine runs.
+asio::awaitable<void> runSession(std::shared_ptr<caller_session> session)
+{
+    co_await session->run();
+}
+
 tcp::acceptor listenAt(asio::io_context &context, const std::string &address)
 {
     try {
@@ -59,8 +65,8 @@
 
 void front_server::start()
 {
-    asio::co_spawn(m_state.context, acceptClients(), asio::detached);
-    asio::co_spawn(m_state.context, acceptChecks(), asio::detached);
+    spawnLogged(m_state.context, "accept_clients", acceptClients());
+    spawnLogged(m_state.context, "accept_checks", acceptChecks());
 }
 
 asio::awaitable<void> front_server::acceptClients()
@@ -85,7 +91,7 @@
             std::erase_if(m_sessions, [](const auto &known) { return known.expired(); });
         }
         m_sessions.push_back(session);
-        asio::co_spawn(m_state.context, session->run(), asio::detached);
+        spawnLogged(m_state.context, "client_session", runSession(std::move(session)));
     }
 }
 
@@ -99,7 +105,7 @@
             co_return;
         }
         if (!error) {
-            asio::co_spawn(m_state.context, answerCheck(std::move(socket)), asio::detached);
+            spawnLogged(m_state.context, "readiness_check", answerCheck(std::move(socket)));
         }
     }
 }
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -1,11 +1,10 @@
 #include "gateway/generation_flow.h"
 
 #include "gateway/one_shot.h"
+#include "gateway/spawn.h"
 #include "kernel/scope.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
 
 namespace chestnut
@@ -146,7 +145,7 @@
     });
     status = co_await exchange->send(bytes, m_facts.deadline);
     if (status == exchange_status::ok) {
-        asio::co_spawn(m_state.context, watchRun(watch, exchange), asio::detached);
+        spawnLogged(m_state.context, "run_watch", watchRun(shared_from_this(), watch, exchange));
         status = co_await exchange->readHead(m_state.words.requestId, m_facts.id, m_facts.deadline);
     }
     if (m_abandoned) {
@@ -161,9 +160,9 @@
 }
 
 // Finds out about silence: while the run makes no progress, asks what it waits for and mends it or gives the run up.
-asio::awaitable<void> generation_flow::watchRun(std::shared_ptr<run_watch> watch, std::shared_ptr<upstream_exchange> exchange)
+asio::awaitable<void> generation_flow::watchRun(std::shared_ptr<generation_flow>, std::shared_ptr<run_watch> watch,
+                                                std::shared_ptr<upstream_exchange> exchange)
 {
-    const auto self = shared_from_this();
     while (!watch->ended && !m_abandoned) {
         const steady_time until = m_lastProgress + patience();
         if (std::chrono::steady_clock::now() < until) {
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -40,7 +40,8 @@
     };
     asio::awaitable<run_result> runOnce(const std::vector<path_stage> &path);
     asio::awaitable<run_result> takeAnswer(upstream_exchange &exchange, const std::vector<path_stage> &path);
-    asio::awaitable<void> watchRun(std::shared_ptr<run_watch> watch, std::shared_ptr<upstream_exchange> exchange);
+    // `self` keeps the flow alive while the watch runs.
+    asio::awaitable<void> watchRun(std::shared_ptr<generation_flow> self, std::shared_ptr<run_watch> watch, std::shared_ptr<upstream_exchange> exchange);
     run_result lostRun(const std::string &address, exchange_status status);
     asio::awaitable<run_result> relay(upstream_exchange &exchange);
     asio::awaitable<run_result> forwardWhole(upstream_exchange &exchange);
