Answers of servers have no body limit: Boost 1.74 takes 'no limit' for a limit of nothing

Cause: with body_limit(none) every answer with a length ended as 'body limit exceeded'; plain services answered 502 for good answers. Found by naming the failing step in the log; ruled out: signature, ids, reused connections.

--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -150,6 +150,13 @@
         if (!m_abandoned) {
             noteFailure(server.address, status == exchange_status::timed_out ? failure_kind::silent : failure_kind::broken);
         }
+        logLine(log_level::info, "answer_unusable",
+                {{"request", m_facts.id},
+                 {"server", server.id.text},
+                 {"status", std::to_string(m_head.status)},
+                 {"exchange", toText(status)},
+                 {"error", exchange->errorText()},
+                 {"bytes", std::to_string(m_body.size())}});
         m_head = {};
         m_body.clear();
         co_return try_result::uncertain;
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <charconv>
+#include <limits>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -169,6 +170,7 @@
     if (!error) {
         return exchange_status::ok;
     }
+    m_error = error.message();
     if (m_aborted) {
         return exchange_status::aborted;
     }
@@ -211,7 +213,7 @@
 {
     for (int skipped = 0; skipped <= MOST_SKIPPED_ANSWERS; ++skipped) {
         m_parser.emplace();
-        m_parser->body_limit(boost::none);
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max()); // Boost 1.74 takes no limit for a limit of nothing
         m_parser->header_limit(ANSWER_HEADER_BYTES);
         m_parser->skip(m_noBody);
         m_connection->stream.expires_at(until);
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -130,6 +130,11 @@
         return m_sent;
     }
     void abort();
+    // Cause of the last step that failed, for logs.
+    const std::string &errorText() const
+    {
+        return m_error;
+    }
     // The answer to a HEAD request has no body, whatever its length says.
     void expectNoBody()
     {
@@ -148,6 +153,7 @@
     std::unique_ptr<upstream_connection> m_connection;
     std::optional<head_parser> m_parser;
     answer_head m_head;
+    std::string m_error;
     bool m_sent = false;
     bool m_complete = false; // the answer was read to its end
     bool m_aborted = false;
