--- a/src/core/repeat_budget.h
+++ b/src/core/repeat_budget.h
@@ -24,6 +24,10 @@
         : m_limits(limits)
     {
     }
+    void setExtra(double extra)
+    {
+        m_limits.extra = extra;
+    }
     void countFirst(steady_time now);
     // Takes one repeat out of the budget; false if none is left.
     bool takeRepeat(steady_time now);
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -24,6 +24,8 @@
 };
 
 constexpr int MOST_DOUBLINGS = 5;
+constexpr milliseconds ALIVE_PROOF{300};         // a sign of life that is younger outweighs what peers say
+constexpr milliseconds LONGEST_PEER_PAUSE{1000}; // peers repeat it while it holds
 
 }
 
@@ -32,6 +34,7 @@
     const pause_range &range = PAUSES[static_cast<int>(kind)];
     server_state &state = m_servers[address];
     ++state.failures;
+    state.lastFailure = kind;
     const int beyond = state.failures - range.tolerated;
     if (beyond <= 0) {
         return;
@@ -50,7 +53,29 @@
 bool server_health::avoided(const std::string &address, steady_time now) const
 {
     const auto found = m_servers.find(address);
-    return found != m_servers.end() && found->second.avoidUntil > now;
+    return found != m_servers.end() && (found->second.avoidUntil > now || found->second.peerAvoidUntil > now);
+}
+
+void server_health::noteAlive(const std::string &address, steady_time now)
+{
+    server_state &state = m_servers[address];
+    state.lastAlive = now;
+    state.peerAvoidUntil = {};
+}
+
+void server_health::notePeerAvoids(const std::string &address, milliseconds avoid, steady_time now)
+{
+    server_state &state = m_servers[address];
+    if (now - state.lastAlive > ALIVE_PROOF) {
+        state.peerAvoidUntil = now + std::min(avoid, LONGEST_PEER_PAUSE);
+    }
+}
+
+milliseconds server_health::ownPause(const std::string &address, steady_time now) const
+{
+    const auto found = m_servers.find(address);
+    const bool pausing = found != m_servers.end() && found->second.avoidUntil > now;
+    return pausing ? std::chrono::duration_cast<milliseconds>(found->second.avoidUntil - now) : milliseconds(0);
 }
 
 const char *toText(failure_kind kind)
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -23,13 +23,16 @@
 
 struct server_state
 {
-    int failures = 0;         // in a row
+    int failures = 0; // in a row
+    failure_kind lastFailure = failure_kind::broken;
     steady_time avoidUntil{}; // no new work before
     int running = 0;          // requests of this instance at the server
     double tokens = 0;        // tokens of this instance's generations that pass through it
     int reportedRunning = -1; // at the whole server, -1 = unknown
     int reportedWaiting = 0;
     steady_time reportedAt{};
+    steady_time lastAlive{};      // when this instance last got something that passed through it
+    steady_time peerAvoidUntil{}; // another instance avoids it
 };
 
 class server_health
@@ -42,6 +45,16 @@
     // Counts a failure and sets the pause.
     void noteFailure(const std::string &address, failure_kind kind, steady_time now);
     void noteSuccess(const std::string &address);
+    // A sign of life of a server, also as a later stage of a path.
+    void noteAlive(const std::string &address, steady_time now);
+    // Another instance avoids the server; counts unless it has just shown life here.
+    void notePeerAvoids(const std::string &address, milliseconds avoid, steady_time now);
+    // How long this instance itself avoids a server; 0 = not.
+    milliseconds ownPause(const std::string &address, steady_time now) const;
+    const std::unordered_map<std::string, server_state> &all() const
+    {
+        return m_servers;
+    }
     bool avoided(const std::string &address, steady_time now) const;
 
 private:
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -5,11 +5,12 @@
 namespace chestnut
 {
 
-const setting_row<gateway_settings> GATEWAY_SETTINGS[16] = {
+const setting_row<gateway_settings> GATEWAY_SETTINGS[17] = {
     {"instance.name", &gateway_settings::name, 1, 100, "text", "instance name, unique in the deployment"},
     {"instance.failure_domain", &gateway_settings::failureDomain, 1, 100, "text", "failure domain of this instance"},
     {"instance.front", &gateway_settings::frontAddress, 9, 21, "IP:port", "address for clients"},
     {"instance.ready", &gateway_settings::readyAddress, 9, 21, "IP:port", "address for readiness checks"},
+    {"instance.peer", &gateway_settings::peerAddress, 9, 21, "IP:port", "address for the other instances"},
     {"instance.metrics", &gateway_settings::metricsAddress, 9, 21, "IP:port", "address for metrics"},
     {"instance.drain_limit", &gateway_settings::drainLimit, 0, 600000, "ms", "longest wait for requests in flight at shutdown"},
     {"platform.adapter", &gateway_settings::platformAdapter, 1, 50, "plug-in", "adapter for the platform"},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -15,6 +15,7 @@
     std::string failureDomain = "local";           // failure domain of this instance
     std::string frontAddress = "127.0.0.1:8080";   // IP:port for clients
     std::string readyAddress = "127.0.0.1:8081";   // IP:port for readiness checks
+    std::string peerAddress = "127.0.0.1:7340";    // IP:port for the other instances
     std::string metricsAddress = "127.0.0.1:9464"; // IP:port for metrics
     std::string platformAdapter = "log-store";     // plug-in
     std::string platformUrl;                       // URL of the platform's store
@@ -29,7 +30,7 @@
     int logLinesPerSecond = 150;                   // further lines are counted, not written
 };
 
-extern const setting_row<gateway_settings> GATEWAY_SETTINGS[16];
+extern const setting_row<gateway_settings> GATEWAY_SETTINGS[17];
 
 // Throws settings_error on values that do not fit together.
 void checkSettings(const gateway_settings &settings);
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -18,11 +18,14 @@
 constexpr milliseconds EVENT_PATIENCE{150};  // silence between two events that does
 constexpr milliseconds REPORT_WAIT{250};     // a first server that does not report by then counts as lost
 constexpr milliseconds ORDER_WAIT{400};
-constexpr milliseconds SHORTEST_RUN{200};  // with less time left no run is begun
-constexpr milliseconds BUSY_RETRY{1200};   // a place is expected free after the mean answer time
-constexpr milliseconds NO_PATH_RETRY{900}; // a lost stage is replaced or back after that
-constexpr int MOST_TRIES = 6;              // paths tried for one request
-constexpr int MOST_SILENCES = 12;          // inquiries in a row that find nothing
+constexpr milliseconds SHORTEST_RUN{200};   // with less time left no run is begun
+constexpr milliseconds BUSY_RETRY{1200};    // a place is expected free after the mean answer time
+constexpr milliseconds NO_PATH_RETRY{900};  // a lost stage is replaced or back after that
+constexpr milliseconds ALIVE_INTERVAL{100}; // between two notes that a path's servers live
+constexpr milliseconds PATH_WAIT{60};       // between looks for a path for a stream that has begun
+constexpr int MOST_TRIES = 6;               // paths tried for one request
+constexpr int CLIENT_PAUSES = 8;            // a client leaves a stream after so many of the longest good pauses
+constexpr int MOST_SILENCES = 12;           // inquiries in a row that find nothing
 constexpr std::size_t MOST_FAILURE_BYTES = std::size_t(1) << 20;
 
 }
@@ -52,7 +55,10 @@
             reason = "repeat_budget";
             break;
         }
-        auto path = m_state.choosePath(*service(), m_facts.tokens, m_avoided, now);
+        const auto path = co_await findPathFor();
+        if (m_abandoned) {
+            co_return;
+        }
         if (!path) {
             reason = tries == 0 ? "no_path" : "no_other_path";
             break;
@@ -72,6 +78,29 @@
     }
 }
 
+// A request that has not begun is refused at once if there is no room for it. A stream that has begun takes any complete
+// path, and waits for one while its client does.
+asio::awaitable<std::optional<std::vector<path_stage>>> generation_flow::findPathFor()
+{
+    const steady_time start = std::chrono::steady_clock::now();
+    const auto wait = m_facts.matched->longestPause * CLIENT_PAUSES;
+    asio::steady_timer timer(m_state.context);
+    while (true) {
+        const steady_time now = std::chrono::steady_clock::now();
+        auto path = m_state.choosePath(*service(), m_facts.tokens, m_avoided, false, now);
+        if (!path && m_began) {
+            path = m_state.choosePath(*service(), m_facts.tokens, m_avoided, true, now);
+        }
+        if (path || !m_began || m_abandoned || now - start >= wait || overdue()) {
+            co_return path;
+        }
+        m_avoided.clear(); // those that are still at fault are avoided for all requests
+        timer.expires_after(PATH_WAIT);
+        boost::system::error_code ignored; // nothing cancels it
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 bool generation_flow::mayRunAgain() const
 {
     return m_facts.matched->resumable && m_outcome.runs < m_facts.matched->maxAttempts + m_lostRuns;
@@ -160,8 +189,7 @@
 }
 
 // Finds out about silence: while the run makes no progress, asks what it waits for and mends it or gives the run up.
-asio::awaitable<void> generation_flow::watchRun(std::shared_ptr<generation_flow>, std::shared_ptr<run_watch> watch,
-                                                std::shared_ptr<upstream_exchange> exchange)
+asio::awaitable<void> generation_flow::watchRun(std::shared_ptr<generation_flow>, std::shared_ptr<run_watch> watch, std::shared_ptr<upstream_exchange> exchange)
 {
     while (!watch->ended && !m_abandoned) {
         const steady_time until = m_lastProgress + patience();
@@ -295,6 +323,12 @@
     }
     m_lastEvent = now;
     m_silences = 0;
+    if (now - m_lastAlive >= ALIVE_INTERVAL) {
+        m_lastAlive = now;
+        for (const path_stage &stage : m_path) {
+            m_state.health.noteAlive(stage.address, now);
+        }
+    }
     m_lastId = m_splitter.lastId();
     m_outcome.events = m_splitter.events();
     co_return co_await m_sink.writeStream(events);
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -38,6 +38,7 @@
         bool ended = false;   // the run is over
         bool givenUp = false; // the watch closed the run's connection
     };
+    asio::awaitable<std::optional<std::vector<path_stage>>> findPathFor();
     asio::awaitable<run_result> runOnce(const std::vector<path_stage> &path);
     asio::awaitable<run_result> takeAnswer(upstream_exchange &exchange, const std::vector<path_stage> &path);
     // `self` keeps the flow alive while the watch runs.
@@ -66,6 +67,7 @@
     int m_lostRuns = 0;                    // ended by the loss of a server
     int m_silences = 0;                    // in a row, without an event between
     steady_time m_lastEvent{};             // when the client got one
+    steady_time m_lastAlive{};             // when the path's servers were last noted as living
     steady_time m_lastProgress{};          // when the run last showed a sign of life
 };
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/control_plane.h"
 #include "gateway/front_server.h"
+#include "kernel/clock.h"
 #include "kernel/http_server.h"
 #include "kernel/registry.h"
 
@@ -10,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <charconv>
+#include <set>
 
 namespace
 {
@@ -18,6 +20,7 @@
 
 constexpr milliseconds DRAIN_STEP{50};
 constexpr milliseconds IDLE_CLOSE{2300}; // the balancer has missed two checks by then
+constexpr milliseconds LOAD_REPORT{80};  // interval at which the own load is handed to the mesh
 constexpr seconds DROP_REPORT{5};        // interval of the line that tells how many lines were dropped
 
 using platform_plugins = plugin_registry<platform_port, event_loop &, const std::string &, metrics &>;
@@ -42,10 +45,14 @@
         , m_state(m_context, settings, m_counters, *m_port)
         , m_front(m_state)
         , m_plane(m_control, *m_port, m_counters, settings, planeHandler())
+        , m_mesh(std::make_unique<mesh_node>(
+              m_control, m_counters, mesh_settings{settings.name, settings.failureDomain, settings.peerAddress, static_cast<std::uint64_t>(wallClockMs())},
+              meshHandler()))
         , m_metrics(metricsOptions(settings.metricsAddress), [this](const std::shared_ptr<http_call> &call) { answerMetrics(*call); })
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_drainTimer(m_context)
         , m_dropTimer(m_context)
+        , m_loadTimer(m_context)
     {
         m_state.control = controlCalls();
     }
@@ -54,14 +61,21 @@
     {
         m_front.start();
         m_plane.start();
+        joinMesh();
         awaitSignal();
         reportDropped();
+        reportLoad();
         m_context.run();
+        m_mesh.reset();
+        m_control.stop();
     }
 
 private:
     control_handler planeHandler();
     control_calls controlCalls();
+    mesh_handler meshHandler();
+    void joinMesh();
+    void reportLoad();
     void answerMetrics(http_call &call);
     void awaitSignal();
     void drainStep();
@@ -74,10 +88,14 @@
     traffic_state m_state;
     front_server m_front;
     control_plane m_plane;
+    std::unique_ptr<mesh_node> m_mesh;
+    std::vector<server_load> m_ownLoads; // control thread only
     http_server m_metrics;
     asio::signal_set m_signals;
     asio::steady_timer m_drainTimer;
     asio::steady_timer m_dropTimer;
+    asio::steady_timer m_loadTimer;
+    std::set<std::string> m_members; // instances that were ever known, traffic thread only
     steady_time m_drainBegan{};
     bool m_idleClosed = false;
 };
@@ -114,6 +132,43 @@
     return calls;
 }
 
+mesh_handler gateway_process::meshHandler()
+{
+    mesh_handler handler;
+    handler.loads = [this] { return m_ownLoads; };
+    handler.onReport
+        = [this](peer_report report) { asio::post(m_context, [this, report = std::move(report)]() mutable { m_state.takePeerReport(std::move(report)); }); };
+    handler.mark = [this] { return m_port->mark(); };
+    handler.exportNews = [this](const news_mark &since) { return m_port->exportNews(since); };
+    handler.importNews = [this](const std::string &news) { m_port->importNews(news); };
+    return handler;
+}
+
+void gateway_process::joinMesh()
+{
+    m_control.post([this] {
+        m_mesh->start();
+        m_port->announce(m_state.settings.name, m_state.settings.peerAddress, [this](const std::string &instance, const std::string &address) {
+            m_mesh->addPeer(instance, address);
+            asio::post(m_context, [this, instance] {
+                m_members.insert(instance);
+                m_state.knownInstances = static_cast<int>(m_members.size());
+            });
+        });
+    });
+}
+
+void gateway_process::reportLoad()
+{
+    m_control.post([this, loads = m_state.ownLoads(std::chrono::steady_clock::now())]() mutable { m_ownLoads = std::move(loads); });
+    m_loadTimer.expires_after(LOAD_REPORT);
+    m_loadTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            reportLoad();
+        }
+    });
+}
+
 void gateway_process::answerMetrics(http_call &call)
 {
     http_response response;
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -6,6 +6,7 @@
 #include "core/gateway_types.h"
 #include "kernel/event_loop.h"
 #include "kernel/metrics.h"
+#include "mesh/mesh_node.h"
 
 #include <functional>
 #include <string>
@@ -96,6 +97,16 @@
     // Begins to follow configuration and servers.
     virtual void follow(platform_handler handler) = 0;
 
+    // Makes this instance known to the others and tells of those that are or were known; repeats until the store has answered.
+    virtual void announce(const std::string &instance, const std::string &peerAddress,
+                          std::function<void(const std::string &instance, const std::string &address)> onMember)
+        = 0;
+
+    // How far configuration and servers are known here, and exchange of what one instance knows and another does not.
+    virtual news_mark mark() const = 0;
+    virtual std::string exportNews(const news_mark &since) const = 0;
+    virtual void importNews(const std::string &news) = 0;
+
     // Reads lease entries from an offset; waits up to `wait` for one.
     virtual void readLease(std::uint64_t from, milliseconds wait, std::function<void(lease_read)> done) = 0;
     // Appends an entry if the log still ends at `end`.
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -53,8 +53,32 @@
 
 repeat_budget &traffic_state::budgetOf(const service_id &service)
 {
-    const repeat_budget_limits limits{settings.repeatRatio, settings.repeatExtra / settings.expectedInstances, settings.repeatWindow};
-    return m_budgets.try_emplace(service, limits).first->second;
+    const double part = settings.repeatExtra / std::max(knownInstances, settings.expectedInstances);
+    repeat_budget &budget = m_budgets.try_emplace(service, repeat_budget_limits{settings.repeatRatio, part, settings.repeatWindow}).first->second;
+    budget.setExtra(part);
+    return budget;
+}
+
+std::vector<server_load> traffic_state::ownLoads(steady_time now) const
+{
+    std::vector<server_load> loads;
+    for (const auto &[address, state] : health.all()) {
+        const milliseconds pause = health.ownPause(address, now);
+        if (state.running > 0 || state.tokens > 0 || pause.count() > 0) {
+            loads.push_back({address, state.running, state.tokens, pause, state.lastFailure});
+        }
+    }
+    return loads;
+}
+
+void traffic_state::takePeerReport(peer_report report)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    peers.take(std::move(report));
+    const int size = fleet ? static_cast<int>(fleet->servers.size()) : 0;
+    for (const server_load &load : peers.avoided(size, now)) {
+        health.notePeerAvoids(load.address, load.avoid, now);
+    }
 }
 
 double traffic_state::draw()
@@ -77,9 +101,10 @@
         }
         const server_state &seen = health.of(server.address);
         const bool fresh = seen.reportedRunning >= 0 && now - seen.reportedAt < REPORT_LIFE;
+        const int running = seen.running + peers.running(server.address, now);
         const double reported = fresh ? seen.reportedRunning + seen.reportedWaiting : 0;
         const double ownDomain = server.domain.text == settings.failureDomain ? 0 : 0.05; // ties go to the own failure domain
-        const double load = std::max<double>(seen.running, reported * 0.5 + seen.running) / server.slots + ownDomain + draw() * 0.02;
+        const double load = std::max<double>(running, reported) / server.slots + ownDomain + draw() * 0.02;
         (health.avoided(server.address, now) ? avoided : usable).push_back({&server, load});
     }
     std::vector<rated> &chosen = usable.empty() ? avoided : usable; // better a doubtful server than none
@@ -105,16 +130,17 @@
         candidate.server = &server;
         candidate.msPerLayer = engine.stepMs * kind->second.stepFactor / engine.layers;
         candidate.roomTokens = engine.tokenRoom(kind->second, server.held.count());
-        candidate.usedTokens = health.of(server.address).tokens * settings.expectedInstances; // the others are taken to do as we do
+        candidate.usedTokens = health.of(server.address).tokens + peers.tokens(server.address, now);
         found.push_back(candidate);
     }
     return found;
 }
 
 std::optional<std::vector<path_stage>> traffic_state::choosePath(const service_profile &service, double tokens, const std::vector<std::string> &avoid,
-                                                                 steady_time now)
+                                                                 bool ignoreRoom, steady_time now)
 {
     path_question question;
+    question.ignoreRoom = ignoreRoom;
     question.from = domain_id{settings.failureDomain};
     question.layers = service.engine->layers;
     question.tokens = tokens;
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -7,6 +7,7 @@
 #include "core/layer_path.h"
 #include "core/repeat_budget.h"
 #include "core/server_health.h"
+#include "core/shared_load.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_port.h"
 #include "gateway/upstream.h"
@@ -60,6 +61,8 @@
     std::shared_ptr<const gateway_config> config; // null until known
     std::shared_ptr<const fleet_snapshot> fleet;  // null until known
     server_health health;
+    shared_load peers;      // what the other instances say
+    int knownInstances = 1; // this one included; shares the repeats' budget
     upstream_pool pool;
     pcg32 random;
     line_budget lines;
@@ -71,6 +74,9 @@
     {
         return config && fleet && !draining;
     }
+    // This instance's report for its peers.
+    std::vector<server_load> ownLoads(steady_time now) const;
+    void takePeerReport(peer_report report);
     repeat_budget &budgetOf(const service_id &service);
     double draw();
 
@@ -78,7 +84,8 @@
     std::vector<const listed_server *> plainServers(const service_id &service, const std::vector<std::string> &tried, steady_time now);
 
     // Path for a generation that avoids some addresses; nothing if there is none.
-    std::optional<std::vector<path_stage>> choosePath(const service_profile &service, double tokens, const std::vector<std::string> &avoid, steady_time now);
+    std::optional<std::vector<path_stage>> choosePath(const service_profile &service, double tokens, const std::vector<std::string> &avoid, bool ignoreRoom,
+                                                      steady_time now);
     // Other stages for layers [range) that use none of the servers of `path` nor an avoided one.
     std::optional<std::vector<path_stage>> chooseReplacement(const service_profile &service, layer_range range, double tokens,
                                                              const std::vector<path_stage> &path, const std::vector<std::string> &avoid, steady_time now);
--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -117,6 +117,7 @@
     explicit implementation(const std::string &name);
     ~implementation();
 
+    void stop();
     void post(std::function<void()> task);
     timer_id after(microseconds delay, std::function<void()> task);
     void cancel(timer_id timer);
@@ -175,11 +176,18 @@
     pthread_setname_np(m_thread.native_handle(), name.substr(0, 15).c_str());
 }
 
-event_loop::implementation::~implementation()
+void event_loop::implementation::stop()
 {
     m_stopping = true;
     post([] {});
-    m_thread.join();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+event_loop::implementation::~implementation()
+{
+    stop();
     removeAborted();
     for (auto &[id, one] : m_transfers) {
         curl_multi_remove_handle(m_multi, one->easy);
@@ -516,6 +524,11 @@
     m_impl->abort(transfer);
 }
 
+void event_loop::stop()
+{
+    m_impl->stop();
+}
+
 void event_loop::closeIdleConnections()
 {
     m_impl->closeIdleConnections();
--- a/src/kernel/event_loop.h
+++ b/src/kernel/event_loop.h
@@ -65,6 +65,8 @@
     explicit event_loop(const std::string &name);
     // Stops the thread; transfers in flight are dropped without a callback.
     ~event_loop();
+    // Ends the thread; nothing posted runs any more. Any other thread.
+    void stop();
     event_loop(const event_loop &) = delete;
     event_loop &operator=(const event_loop &) = delete;
 
--- /dev/null
+++ b/src/mesh/mesh_node.h
@@ -0,0 +1,62 @@
+#pragma once
+
+// Exchange of states between gateway processes over gRPC: every pair of instances exchanges at a steady pace. Instances
+// find each other in the platform's store and through calls that they receive.
+
+#include "core/shared_load.h"
+#include "kernel/event_loop.h"
+#include "kernel/metrics.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace chestnut
+{
+
+// Marks how far an instance knows the platform's news.
+struct news_mark
+{
+    std::uint64_t configVersion = 0;
+    std::uint64_t fleetOffset = 0;
+};
+
+// Called on the node's loop.
+struct mesh_handler
+{
+    std::function<std::vector<server_load>()> loads;               // this instance's own report
+    std::function<void(peer_report)> onReport;                     // a peer's report
+    std::function<news_mark()> mark;                               // of this instance
+    std::function<std::string(const news_mark &since)> exportNews; // what a peer with that mark lacks
+    std::function<void(const std::string &news)> importNews;
+};
+
+struct mesh_settings
+{
+    std::string instance;
+    std::string domain;
+    std::string address;           // IP:port of the peer service
+    std::uint64_t incarnation = 0; // start time in milliseconds
+};
+
+class mesh_node
+{
+public:
+    // Throws std::runtime_error if the address cannot be bound.
+    mesh_node(event_loop &loop, metrics &counters, const mesh_settings &settings, mesh_handler handler);
+    ~mesh_node();
+    mesh_node(const mesh_node &) = delete;
+    mesh_node &operator=(const mesh_node &) = delete;
+
+    // Starts the rounds. Loop thread only.
+    void start();
+    // An instance that is known to exist or to have existed. Loop thread only.
+    void addPeer(const std::string &instance, const std::string &address);
+    void setLeaving();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_impl;
+};
+
+}
