Placement by room for requests; neighbours cover lost stages; runs counted strictly

Ruled out: processor time of engines (a few per cent) and of the gateway. Change: 1.1 copies and the rest as room, gaps are covered by extending neighbours, servers that nobody reaches count as lost before their entry lapses; a repath that is refused tries another stage; a stream runs on no more servers than its route allows; the end of the lease log never moves back after an own append.

--- a/src/core/giver_lease.cpp
+++ b/src/core/giver_lease.cpp
@@ -1,5 +1,7 @@
 #include "core/giver_lease.h"
 
+#include <algorithm>
+
 namespace chestnut
 {
 
@@ -7,7 +9,7 @@
 {
     const bool grown = end > m_end || !m_known;
     m_known = true;
-    m_end = end;
+    m_end = std::max(m_end, end); // a read that began before our own append shows an older end
     if (!newest || !grown) {
         return;
     }
--- a/src/core/layer_placement.cpp
+++ b/src/core/layer_placement.cpp
@@ -1,8 +1,9 @@
+// Sections: room, placement of empty servers, repair of gaps.
+
 #include "core/layer_placement.h"
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace chestnut
 {
@@ -10,58 +11,71 @@
 namespace
 {
 
-constexpr double OTHER_DOMAIN_SHARE = 0.05;    // weight of copies elsewhere: they only break ties
-constexpr double FALLBACK_ROOM_TOKENS = 8'000; // a few requests: less is no use to anyone
+using domain_members = std::map<domain_id, std::vector<placed_server>>;
+
+constexpr double OTHER_DOMAIN_SHARE = 0.04; // weight of room elsewhere: it decides between equals
+constexpr double NO_ROOM_PENALTY = 8'000;   // tokens; keeps the worth of a first copy finite
 
-struct coverage
+// Room for requests on each layer, in tokens.
+struct layer_room
 {
-    std::vector<double> own;   // copies of each layer in the failure domain
-    std::vector<double> total; // copies of each layer anywhere
+    std::vector<double> own;   // in the failure domain
+    std::vector<double> total; // anywhere
 
-    void add(const layer_range &range, bool sameDomain)
+    void add(const layer_range &range, double tokens, bool sameDomain)
     {
         for (int layer = range.first; layer < range.last; ++layer) {
-            total[layer] += 1;
-            own[layer] += sameDomain ? 1 : 0;
+            total[layer] += tokens;
+            own[layer] += sameDomain ? tokens : 0;
         }
     }
 };
 
-// Worth of one more copy of a layer: falls steeply with the copies that exist.
-double gain(double own, double total)
+double roomOf(const engine_profile &engine, const placed_server &server, int held)
+{
+    return engine.tokenRoom(engine.kinds.at(server.accelerator), held);
+}
+
+domain_members groupByDomain(const engine_profile &engine, const std::vector<placed_server> &servers)
 {
-    const double copies = own + OTHER_DOMAIN_SHARE * total;
-    return 1.0 / ((1 + copies * 4) * (1 + copies * 4));
+    domain_members groups;
+    for (const placed_server &server : servers) {
+        if (engine.kinds.contains(server.accelerator) && server.range.first >= 0 && server.range.last <= engine.layers) {
+            groups[server.domain].push_back(server);
+        }
+    }
+    return groups;
 }
 
-layer_range bestRange(const coverage &known, int layers, int count)
+// Worth of more room on a layer: falls steeply with the room that exists.
+double need(double own, double total)
+{
+    const double room = own + OTHER_DOMAIN_SHARE * total + NO_ROOM_PENALTY;
+    return 1e9 / (room * room);
+}
+
+layer_range neediestRange(const layer_room &room, int layers, int count)
 {
     layer_range best{0, count};
-    double bestGain = -1;
+    double bestNeed = -1;
     for (int first = 0; first + count <= layers; ++first) {
         double sum = 0;
         for (int layer = first; layer < first + count; ++layer) {
-            sum += gain(known.own[layer], known.total[layer]);
+            sum += need(room.own[layer], room.total[layer]);
         }
-        if (sum > bestGain + 1e-9) {
-            bestGain = sum;
+        if (sum > bestNeed * (1 + 1e-9)) {
+            bestNeed = sum;
             best = {first, first + count};
         }
     }
     return best;
 }
 
-double totalLayers(const engine_profile &engine, const std::vector<placed_server> &servers, double room)
-{
-    double sum = 0;
-    for (const placed_server &server : servers) {
-        const auto kind = engine.kinds.find(server.accelerator);
-        sum += kind == engine.kinds.end() ? 0 : layersWithRoom(engine, kind->second, room);
-    }
-    return sum;
 }
 
-}
+//-----------------------------------------------------------------------------
+// Room
+//-----------------------------------------------------------------------------
 
 int layersWithRoom(const engine_profile &engine, const accelerator_kind &kind, double roomTokens)
 {
@@ -71,42 +85,53 @@
 
 double chooseRoom(const engine_profile &engine, const std::vector<placed_server> &domainServers, const placement_limits &limits)
 {
+    const auto layersAt = [&](double room) {
+        int sum = 0;
+        for (const placed_server &server : domainServers) {
+            sum += layersWithRoom(engine, engine.kinds.at(server.accelerator), room);
+        }
+        return sum;
+    };
     for (double room = limits.mostRoomTokens; room >= limits.leastRoomTokens; room -= limits.roomStepTokens) {
-        if (totalLayers(engine, domainServers, room) >= engine.layers * limits.wantedCopies) {
+        if (layersAt(room) >= engine.layers * limits.wantedCopies) {
             return room;
         }
     }
-    for (double room = limits.leastRoomTokens; room > FALLBACK_ROOM_TOKENS; room -= limits.roomStepTokens) {
-        if (totalLayers(engine, domainServers, room) >= engine.layers) {
+    for (double room = limits.mostRoomTokens; room >= limits.leastRoomTokens; room -= limits.roomStepTokens) {
+        if (layersAt(room) >= engine.layers) {
             return room;
         }
     }
     return limits.leastRoomTokens;
 }
 
+//-----------------------------------------------------------------------------
+// Placement of empty servers
+//-----------------------------------------------------------------------------
+
 std::vector<layer_assignment> planPlacement(const engine_profile &engine, const std::vector<placed_server> &servers, const placement_limits &limits)
 {
-    std::map<domain_id, std::vector<placed_server>> byDomain;
-    for (const placed_server &server : servers) {
-        if (engine.kinds.contains(server.accelerator)) {
-            byDomain[server.domain].push_back(server);
-        }
-    }
-    std::vector<layer_assignment> plan;
+    domain_members groups = groupByDomain(engine, servers);
     std::vector<double> total(engine.layers, 0);
-    for (const auto &[domain, members] : byDomain) {
+    for (const auto &[domain, members] : groups) {
+        layer_room anywhere{std::vector<double>(engine.layers, 0), total};
         for (const placed_server &server : members) {
-            for (int layer = server.range.first; layer < std::min(server.range.last, engine.layers); ++layer) {
-                total[layer] += 1;
+            if (!server.lost) {
+                anywhere.add(server.range, roomOf(engine, server, server.range.count()), false);
             }
         }
+        total = anywhere.total;
     }
-    for (auto &[domain, members] : byDomain) {
-        const double room = chooseRoom(engine, members, limits);
-        coverage known{std::vector<double>(engine.layers, 0), total};
+    std::vector<layer_assignment> plan;
+    for (auto &[domain, members] : groups) {
+        const double wanted = chooseRoom(engine, members, limits);
+        layer_room room{std::vector<double>(engine.layers, 0), total};
         for (const placed_server &server : members) {
-            for (int layer = server.range.first; layer < std::min(server.range.last, engine.layers); ++layer) {
-                known.own[layer] += 1;
+            if (!server.lost) {
+                const double tokens = roomOf(engine, server, server.range.count());
+                for (int layer = server.range.first; layer < server.range.last; ++layer) {
+                    room.own[layer] += tokens;
+                }
             }
         }
         std::sort(members.begin(), members.end(), [&](const placed_server &left, const placed_server &right) {
@@ -115,18 +140,100 @@
             return leftMb != rightMb ? leftMb > rightMb : left.id < right.id;
         });
         for (const placed_server &server : members) {
-            if (server.range.count() > 0) {
+            const int count = layersWithRoom(engine, engine.kinds.at(server.accelerator), wanted);
+            if (server.range.count() > 0 || server.lost || count <= 0) {
                 continue;
             }
-            const int count = layersWithRoom(engine, engine.kinds.at(server.accelerator), room);
-            if (count <= 0) {
-                continue;
-            }
-            const layer_range range = bestRange(known, engine.layers, count);
-            known.add(range, true);
+            const layer_range range = neediestRange(room, engine.layers, count);
+            room.add(range, roomOf(engine, server, count), true);
             plan.push_back({server.id, range});
         }
-        total = known.total;
+        total = room.total;
+    }
+    return plan;
+}
+
+//-----------------------------------------------------------------------------
+// Repair of gaps
+//-----------------------------------------------------------------------------
+
+namespace
+{
+
+// Layer ranges that no live server holds.
+std::vector<layer_range> gapsOf(const std::vector<placed_server> &members, int layers)
+{
+    std::vector<bool> covered(layers, false);
+    for (const placed_server &server : members) {
+        for (int layer = server.range.first; layer < server.range.last && !server.lost; ++layer) {
+            covered[layer] = true;
+        }
+    }
+    std::vector<layer_range> gaps;
+    for (int layer = 0; layer < layers; ++layer) {
+        if (covered[layer]) {
+            continue;
+        }
+        if (gaps.empty() || gaps.back().last != layer) {
+            gaps.push_back({layer, layer});
+        }
+        gaps.back().last = layer + 1;
+    }
+    return gaps;
+}
+
+// Most layers that a server may hold in an emergency.
+int mostExtended(const engine_profile &engine, const placed_server &server, const placement_limits &limits)
+{
+    return layersWithRoom(engine, engine.kinds.at(server.accelerator), limits.leastExtendedRoom);
+}
+
+// The live server that touches a gap at one end and can take most of its layers; null if none can take any.
+const placed_server *bestNeighbour(const engine_profile &engine, const std::vector<placed_server> &members, const placement_limits &limits, int edge,
+                                   bool below)
+{
+    const placed_server *best = nullptr;
+    int bestSpare = 0;
+    for (const placed_server &server : members) {
+        const bool touches = below ? server.range.last == edge : server.range.first == edge;
+        if (server.lost || server.changing || server.range.count() <= 0 || !touches) {
+            continue;
+        }
+        const int spare = mostExtended(engine, server, limits) - server.range.count();
+        if (spare > bestSpare) {
+            bestSpare = spare;
+            best = &server;
+        }
+    }
+    return best;
+}
+
+}
+
+std::vector<layer_assignment> planRepair(const engine_profile &engine, const std::vector<placed_server> &servers, const placement_limits &limits)
+{
+    std::vector<layer_assignment> plan;
+    for (const auto &[domain, members] : groupByDomain(engine, servers)) {
+        for (const layer_range &gap : gapsOf(members, engine.layers)) {
+            if (gap.count() == engine.layers) {
+                continue; // the domain holds nothing: placement's matter
+            }
+            const placed_server *below = bestNeighbour(engine, members, limits, gap.first, true);
+            const placed_server *above = bestNeighbour(engine, members, limits, gap.last, false);
+            const int spareBelow = below == nullptr ? 0 : mostExtended(engine, *below, limits) - below->range.count();
+            const int spareAbove = above == nullptr ? 0 : mostExtended(engine, *above, limits) - above->range.count();
+            if (spareBelow + spareAbove < gap.count()) {
+                continue; // half a bridge serves nobody
+            }
+            const double share = static_cast<double>(spareBelow) / (spareBelow + spareAbove);
+            const int fromBelow = std::clamp(static_cast<int>(std::lround(share * gap.count())), gap.count() - spareAbove, spareBelow);
+            if (fromBelow > 0) {
+                plan.push_back({below->id, {below->range.first, gap.first + fromBelow}});
+            }
+            if (fromBelow < gap.count()) {
+                plan.push_back({above->id, {gap.first + fromBelow, above->range.last}});
+            }
+        }
     }
     return plan;
 }
--- a/src/core/layer_placement.h
+++ b/src/core/layer_placement.h
@@ -1,11 +1,12 @@
 #pragma once
 
-// Decides which layers an empty backend server is to hold. Pure: the same fleet always gets the same plan, so two
-// instances that both believe they give orders do not contradict each other.
+// Decides which layers backend servers are to hold. Pure: the same fleet always gets the same plan, so two instances that
+// both believe they give orders do not contradict each other.
 //
 // Load pattern it answers: each failure domain serves its own clients over its own servers, because every hop into another
-// domain moves a prompt's activations over a shared pipe. A domain therefore first covers all layers once, then doubles
-// the layers that have the least room.
+// domain moves a prompt's activations over a shared pipe; and memory for requests, not processor time, runs out first. So a
+// domain covers all layers little more than once and keeps the rest of its memory as room for requests. That room is also
+// the reserve out of which a lost stage is replaced: its neighbours extend their ranges.
 
 #include "core/gateway_types.h"
 
@@ -18,15 +19,18 @@
     server_id id;
     domain_id domain;
     std::string accelerator;
-    layer_range range; // empty = to be placed
+    layer_range range;     // empty = to be placed
+    bool lost = false;     // does not answer: what it holds does not count
+    bool changing = false; // an order to it is under way
 };
 
 struct placement_limits
 {
-    double leastRoomTokens = 60'000; // requests' tokens that must fit beside the layers
-    double mostRoomTokens = 150'000; // room beyond this serves nobody
-    double wantedCopies = 1.3;       // copies of the model in one failure domain, before room is added
-    double roomStepTokens = 10'000;  // step of the search between the two
+    double wantedCopies = 1.1;         // copies of the model in one failure domain, before room is added
+    double leastRoomTokens = 30'000;   // room that a server keeps if the domain has the memory
+    double mostRoomTokens = 400'000;   // room beyond this serves nobody
+    double roomStepTokens = 10'000;    // step of the search between the two
+    double leastExtendedRoom = 15'000; // room that an extended server must keep
 };
 
 // One assignment: these layers on this server.
@@ -44,7 +48,11 @@
 // with the least room gives up room instead of layers.
 double chooseRoom(const engine_profile &engine, const std::vector<placed_server> &domainServers, const placement_limits &limits);
 
-// Ranges for all servers without one, in an order that fills the largest servers first.
+// Ranges for all servers without one, largest servers first: each where its domain has the least room.
 std::vector<layer_assignment> planPlacement(const engine_profile &engine, const std::vector<placed_server> &servers, const placement_limits &limits);
 
+// Extensions that cover layers which no live server of a failure domain holds: the neighbours of each gap take it over as
+// far as their memory allows.
+std::vector<layer_assignment> planRepair(const engine_profile &engine, const std::vector<placed_server> &servers, const placement_limits &limits);
+
 }
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -27,6 +27,15 @@
 constexpr milliseconds ALIVE_PROOF{300};         // a sign of life that is younger outweighs what peers say
 constexpr milliseconds LONGEST_PEER_PAUSE{1000}; // peers repeat it while it holds
 
+// Remembers since when a server cannot be reached.
+void noteFaulty(server_state &state, failure_kind kind, steady_time now)
+{
+    const bool unreachable = kind == failure_kind::unreachable || kind == failure_kind::silent;
+    if (unreachable && state.faultySince == steady_time()) {
+        state.faultySince = now;
+    }
+}
+
 }
 
 void server_health::noteFailure(const std::string &address, failure_kind kind, steady_time now)
@@ -34,6 +43,7 @@
     const pause_range &range = PAUSES[static_cast<int>(kind)];
     server_state &state = m_servers[address];
     ++state.failures;
+    noteFaulty(state, kind, now);
     state.lastFailure = kind;
     const int beyond = state.failures - range.tolerated;
     if (beyond <= 0) {
@@ -48,6 +58,7 @@
     server_state &state = m_servers[address];
     state.failures = 0;
     state.avoidUntil = {};
+    state.faultySince = {};
 }
 
 bool server_health::avoided(const std::string &address, steady_time now) const
@@ -60,15 +71,28 @@
 {
     server_state &state = m_servers[address];
     state.lastAlive = now;
+    state.faultySince = {};
     state.peerAvoidUntil = {};
 }
 
-void server_health::notePeerAvoids(const std::string &address, milliseconds avoid, steady_time now)
+void server_health::notePeerAvoids(const std::string &address, failure_kind kind, milliseconds avoid, steady_time now)
 {
     server_state &state = m_servers[address];
     if (now - state.lastAlive > ALIVE_PROOF) {
         state.peerAvoidUntil = now + std::min(avoid, LONGEST_PEER_PAUSE);
+        noteFaulty(state, kind, now);
+    }
+}
+
+std::map<std::string, steady_time> server_health::faulty(steady_time now) const
+{
+    std::map<std::string, steady_time> found;
+    for (const auto &[address, state] : m_servers) {
+        if (state.faultySince != steady_time() && (state.avoidUntil > now || state.peerAvoidUntil > now)) {
+            found[address] = state.faultySince;
+        }
     }
+    return found;
 }
 
 milliseconds server_health::ownPause(const std::string &address, steady_time now) const
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -5,6 +5,7 @@
 
 #include "kernel/ids.h"
 
+#include <map>
 #include <string>
 #include <unordered_map>
 
@@ -31,6 +32,7 @@
     int reportedRunning = -1; // at the whole server, -1 = unknown
     int reportedWaiting = 0;
     steady_time reportedAt{};
+    steady_time faultySince{};    // first of the failures in a row that show it unreachable or silent, 0 = none
     steady_time lastAlive{};      // when this instance last got something that passed through it
     steady_time peerAvoidUntil{}; // another instance avoids it
 };
@@ -48,13 +50,15 @@
     // A sign of life of a server, also as a later stage of a path.
     void noteAlive(const std::string &address, steady_time now);
     // Another instance avoids the server; counts unless it has just shown life here.
-    void notePeerAvoids(const std::string &address, milliseconds avoid, steady_time now);
+    void notePeerAvoids(const std::string &address, failure_kind kind, milliseconds avoid, steady_time now);
     // How long this instance itself avoids a server; 0 = not.
     milliseconds ownPause(const std::string &address, steady_time now) const;
     const std::unordered_map<std::string, server_state> &all() const
     {
         return m_servers;
     }
+    // Servers that this instance or a peer finds unreachable or silent now, with the time since when.
+    std::map<std::string, steady_time> faulty(steady_time now) const;
     bool avoided(const std::string &address, steady_time now) const;
 
 private:
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -13,8 +13,10 @@
 constexpr milliseconds LEASE_RETRY{500}; // pause after a failed read
 constexpr milliseconds TICK{250};
 constexpr milliseconds ORDER_LIFE{15'000}; // a late order has been carried out by then
+constexpr milliseconds LOST_AFTER{700};    // unreachable for so long: its layers are covered by others
 constexpr milliseconds ORDER_RETRY{3000};  // after an order that certainly did not begin
-constexpr milliseconds FLEET_SETTLE{400};  // servers register one after the other when all start
+constexpr milliseconds FLEET_SETTLE{1400};   // servers register one after the other when all start
+constexpr milliseconds NEWCOMER_SETTLE{100}; // of a fleet that mostly holds layers
 
 std::string rangeText(layer_range range)
 {
@@ -94,6 +96,9 @@
         if (outcome == append_outcome::unknown) {
             return; // the next read tells
         }
+        if (outcome != append_outcome::appended) {
+            logLine(log_level::info, "lease_not_appended", {{"end", std::to_string(m_lease.end())}, {"holder", m_lease.holder()}});
+        }
         m_lease.noteAppended(outcome == append_outcome::appended);
     });
 }
@@ -112,7 +117,7 @@
         logLine(log_level::info, giver ? "lease_taken" : "lease_lost", {{"holder", m_lease.holder()}, {"end", std::to_string(m_lease.end())}});
         m_counters.set("gives_orders", giver ? 1 : 0);
     }
-    if (giver && m_config && m_fleet && now - m_fleetChanged >= FLEET_SETTLE) {
+    if (giver && m_config && m_fleet && now - m_fleetChanged >= (mostlyEmpty() ? FLEET_SETTLE : NEWCOMER_SETTLE)) {
         forgetSettledOrders(now);
         for (const auto &[id, service] : m_config->services) {
             if (service.engine && service.engine->layers > 0) {
@@ -123,11 +128,25 @@
     m_loop.after(TICK, [this] { tick(); });
 }
 
+// True while most servers with accelerators hold nothing: the fleet has just started.
+bool control_plane::mostlyEmpty() const
+{
+    int empty = 0;
+    int all = 0;
+    for (const auto &[id, server] : m_fleet->servers) {
+        if (!server.accelerator.empty()) {
+            ++all;
+            empty += server.held.count() == 0 ? 1 : 0;
+        }
+    }
+    return empty * 2 > all;
+}
+
 void control_plane::forgetSettledOrders(steady_time now)
 {
     std::erase_if(m_pending, [&](const auto &entry) {
         const auto server = m_fleet->servers.find(entry.first);
-        return server == m_fleet->servers.end() || server->second.held.count() > 0 || now - entry.second.given > ORDER_LIFE;
+        return server == m_fleet->servers.end() || server->second.held == entry.second.range || now - entry.second.given > ORDER_LIFE;
     });
 }
 
@@ -139,26 +158,43 @@
             continue;
         }
         const auto pending = m_pending.find(id);
-        servers.push_back({id, server.domain, server.accelerator, pending != m_pending.end() ? pending->second.range : server.held});
+        const bool changing = pending != m_pending.end();
+        servers.push_back({id, server.domain, server.accelerator, changing ? pending->second.range : server.held, isLost(server.address, now), changing});
+    }
+    std::vector<layer_assignment> plan = planPlacement(*service.engine, servers, {});
+    if (plan.empty()) {
+        plan = planRepair(*service.engine, servers, {}); // newcomers first: they cost nobody any room
     }
-    for (const layer_assignment &assignment : planPlacement(*service.engine, servers, {})) {
+    for (const layer_assignment &assignment : plan) {
         m_pending[assignment.server] = {assignment.range, now};
         order(m_fleet->servers.at(assignment.server), assignment.range);
     }
 }
 
+void control_plane::noteFaults(std::map<std::string, steady_time> faultySince)
+{
+    m_faultySince = std::move(faultySince);
+}
+
+// A server that has not been reachable for a while is taken for lost before its entry lapses.
+bool control_plane::isLost(const std::string &address, steady_time now) const
+{
+    const auto since = m_faultySince.find(address);
+    return since != m_faultySince.end() && now - since->second >= LOST_AFTER;
+}
+
 // Reads the server's state first: the order names the count of orders that it must have begun, so that an order that
 // arrives late does not undo a newer one.
 void control_plane::order(const listed_server &server, layer_range range)
 {
     m_port.fetchReport(server.address, server.id, [this, server, range](const server_report &report) {
-        const bool empty = report.ok && report.held.count() == 0 && !report.busy;
-        if (!empty) {
+        const bool changeable = report.ok && !report.busy && report.held == server.held;
+        if (!changeable) {
             logLine(log_level::info, "order_not_given",
-                    {{"server", server.id.text}, {"range", rangeText(range)}, {"reason", report.ok ? "holds layers or is busy" : report.error}});
-            if (!report.ok) {
-                m_pending[server.id].given = std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY;
-            }
+                    {{"server", server.id.text},
+                     {"range", rangeText(range)},
+                     {"reason", report.ok ? "busy, or holds other layers than its entry says" : report.error}});
+            m_pending[server.id] = {range, std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY};
             return;
         }
         if (m_lease.holds(std::chrono::steady_clock::now())) {
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -23,6 +23,8 @@
     control_plane(event_loop &loop, platform_port &port, metrics &counters, const gateway_settings &settings, control_handler handler);
     // Begins to follow the platform. Any thread.
     void start();
+    // Addresses that cannot be reached, with the time since when. Control thread only.
+    void noteFaults(std::map<std::string, steady_time> faultySince);
 
 private:
     // An order that was given and is not yet seen in the server's own entry.
@@ -39,6 +41,8 @@
     void order(const listed_server &server, layer_range range);
     void sendOrder(const listed_server &server, layer_range range, std::uint64_t sequence);
     void forgetSettledOrders(steady_time now);
+    bool mostlyEmpty() const;
+    bool isLost(const std::string &address, steady_time now) const;
 
     event_loop &m_loop;
     platform_port &m_port;
@@ -51,6 +55,7 @@
     std::shared_ptr<const fleet_snapshot> m_fleet;
     steady_time m_fleetChanged{}; // when the set of servers last changed
     std::map<server_id, pending_order> m_pending;
+    std::map<std::string, steady_time> m_faultySince; // by address
 };
 
 }
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds PATH_WAIT{60};       // between looks for a path for a stream that has begun
 constexpr int MOST_TRIES = 6;               // paths tried for one request
 constexpr int CLIENT_PAUSES = 8;            // a client leaves a stream after so many of the longest good pauses
+constexpr int MOST_REPATHS = 3;             // orders for one lost stage
 constexpr int MOST_SILENCES = 12;           // inquiries in a row that find nothing
 constexpr std::size_t MOST_FAILURE_BYTES = std::size_t(1) << 20;
 
@@ -103,7 +104,7 @@
 
 bool generation_flow::mayRunAgain() const
 {
-    return m_facts.matched->resumable && m_outcome.runs < m_facts.matched->maxAttempts + m_lostRuns;
+    return m_facts.matched->resumable && m_outcome.runs < m_facts.matched->maxAttempts;
 }
 
 asio::awaitable<void> generation_flow::finishFailed(const char *reason)
@@ -217,7 +218,6 @@
     if (overdue()) {
         return run_result::broken;
     }
-    ++m_lostRuns;
     if (status != exchange_status::aborted) { // the watch has already found the server at fault
         avoid(address, status == exchange_status::timed_out ? failure_kind::silent : failure_kind::broken);
     }
@@ -360,33 +360,65 @@
     co_return co_await repath(stalled->second);
 }
 
-asio::awaitable<bool> generation_flow::repath(const std::string &lostAddress)
+// Replaces a lost stage by others. A stage that has no room or is gone as well is replaced in turn.
+asio::awaitable<bool> generation_flow::repath(std::string lostAddress)
+{
+    for (int tries = 0; tries < MOST_REPATHS && !m_abandoned; ++tries) {
+        const auto path = pathAround(lostAddress);
+        if (!path) {
+            logLine(log_level::info, "stream_not_moved", {{"request", m_facts.id}, {"lost", lostAddress}, {"reason", "no replacement"}});
+            co_return false;
+        }
+        auto answer = std::make_shared<one_shot<order_answer>>(m_state.context, std::chrono::steady_clock::now() + ORDER_WAIT);
+        m_state.control.orderRepath(path->front().address, path->front().server, m_facts.id, *path, [answer](order_outcome outcome, const std::string &faulty) {
+            answer->set({outcome, faulty});
+        });
+        const std::optional<order_answer> ordered = co_await answer->wait();
+        const bool moved = ordered && ordered->outcome == order_outcome::begun;
+        logLine(log_level::info, moved ? "stream_moved" : "stream_not_moved",
+                {{"request", m_facts.id},
+                 {"lost", lostAddress},
+                 {"stages", std::to_string(path->size())},
+                 {"reason",
+                  !ordered    ? "no answer"
+                      : moved ? ""
+                              : "refused"},
+                 {"faulty", ordered ? ordered->faulty : ""}});
+        if (moved) {
+            ++m_outcome.repaths;
+            m_path = *path;
+            if (m_load) {
+                m_load->move(*path);
+            }
+            co_return true;
+        }
+        if (!ordered || ordered->faulty.empty()) {
+            co_return false;
+        }
+        avoid(ordered->faulty, failure_kind::refused);
+    }
+    co_return false;
+}
+
+// The path in use with other stages in place of the lost one; nothing if the first stage is lost or no others are there.
+std::optional<std::vector<path_stage>> generation_flow::pathAround(const std::string &lostAddress) const
 {
     const steady_time now = std::chrono::steady_clock::now();
     const auto lost = std::find_if(m_path.begin(), m_path.end(), [&](const path_stage &stage) { return stage.address == lostAddress; });
     if (lost == m_path.end() || lost == m_path.begin() || service() == nullptr) {
-        co_return false;
+        return std::nullopt;
     }
-    const auto replacement = m_state.chooseReplacement(*service(), lost->range, m_facts.tokens, m_path, m_avoided, now);
+    auto replacement = m_state.chooseReplacement(*service(), lost->range, m_facts.tokens, m_path, m_avoided, false, now);
     if (!replacement) {
-        co_return false;
+        replacement = m_state.chooseReplacement(*service(), lost->range, m_facts.tokens, m_path, m_avoided, true, now);
+    }
+    if (!replacement) {
+        return std::nullopt;
     }
     std::vector<path_stage> path(m_path.begin(), lost);
     path.insert(path.end(), replacement->begin(), replacement->end());
     path.insert(path.end(), lost + 1, m_path.end());
-    auto answer = std::make_shared<one_shot<order_outcome>>(m_state.context, now + ORDER_WAIT);
-    m_state.control.orderRepath(path.front().address, path.front().server, m_facts.id, path,
-                                [answer](order_outcome outcome, const std::string &) { answer->set(outcome); });
-    const std::optional<order_outcome> outcome = co_await answer->wait();
-    const bool moved = outcome == order_outcome::begun;
-    logLine(log_level::info, "stream_moved",
-            {{"request", m_facts.id}, {"lost", lostAddress}, {"moved", moved ? "yes" : "no"}, {"stages", std::to_string(path.size())}});
-    if (moved) {
-        ++m_outcome.repaths;
-        m_path = path;
-        m_load->move(path);
-    }
-    co_return moved;
+    return path;
 }
 
 }
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -49,7 +49,13 @@
     asio::awaitable<bool> forwardEvents(const std::string &events);
     // Silence in mid-stream: finds the lost stage and replaces it. False if the run is to be given up.
     asio::awaitable<bool> mend(upstream_exchange &exchange);
-    asio::awaitable<bool> repath(const std::string &lostAddress);
+    struct order_answer
+    {
+        order_outcome outcome;
+        std::string faulty; // address that the answer names
+    };
+    asio::awaitable<bool> repath(std::string lostAddress);
+    std::optional<std::vector<path_stage>> pathAround(const std::string &lostAddress) const;
     asio::awaitable<void> finishFailed(const char *reason);
     bool mayRunAgain() const;
     milliseconds patience() const;
@@ -64,7 +70,6 @@
     header_list m_headers;                 // of the first run's answer
     std::optional<std::uint64_t> m_lastId; // newest event that the client has
     bool m_began = false;                  // the head was sent to the client
-    int m_lostRuns = 0;                    // ended by the loss of a server
     int m_silences = 0;                    // in a row, without an event between
     steady_time m_lastEvent{};             // when the client got one
     steady_time m_lastAlive{};             // when the path's servers were last noted as living
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -160,7 +160,11 @@
 
 void gateway_process::reportLoad()
 {
-    m_control.post([this, loads = m_state.ownLoads(std::chrono::steady_clock::now())]() mutable { m_ownLoads = std::move(loads); });
+    const steady_time now = std::chrono::steady_clock::now();
+    m_control.post([this, loads = m_state.ownLoads(now), faulty = m_state.health.faulty(now)]() mutable {
+        m_ownLoads = std::move(loads);
+        m_plane.noteFaults(std::move(faulty));
+    });
     m_loadTimer.expires_after(LOAD_REPORT);
     m_loadTimer.async_wait([this](boost::system::error_code error) {
         if (!error) {
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -77,7 +77,7 @@
     peers.take(std::move(report));
     const int size = fleet ? static_cast<int>(fleet->servers.size()) : 0;
     for (const server_load &load : peers.avoided(size, now)) {
-        health.notePeerAvoids(load.address, load.avoid, now);
+        health.notePeerAvoids(load.address, load.failure, load.avoid, now);
     }
 }
 
@@ -151,7 +151,7 @@
 
 std::optional<std::vector<path_stage>> traffic_state::chooseReplacement(const service_profile &service, layer_range range, double tokens,
                                                                         const std::vector<path_stage> &path, const std::vector<std::string> &avoid,
-                                                                        steady_time now)
+                                                                        bool ignoreRoom, steady_time now)
 {
     std::vector<std::string> excluded = avoid;
     for (const path_stage &stage : path) {
@@ -168,6 +168,7 @@
         candidate.server = &shifted.back();
     }
     path_question question;
+    question.ignoreRoom = ignoreRoom;
     question.from = domain_id{settings.failureDomain};
     question.layers = range.count();
     question.tokens = tokens;
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -88,7 +88,8 @@
                                                       steady_time now);
     // Other stages for layers [range) that use none of the servers of `path` nor an avoided one.
     std::optional<std::vector<path_stage>> chooseReplacement(const service_profile &service, layer_range range, double tokens,
-                                                             const std::vector<path_stage> &path, const std::vector<std::string> &avoid, steady_time now);
+                                                             const std::vector<path_stage> &path, const std::vector<std::string> &avoid, bool ignoreRoom,
+                                                             steady_time now);
 
 private:
     std::vector<stage_candidate> candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now);
