A stream without a replacement stage waits for one unless another whole path can take over

Cause: found by its test: a run that stalled was given up when no replacement was there yet, although no other path was either. Ruled out: the report of the first server, which named the stage. Change: the run is kept and the repath tried again.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -367,7 +367,7 @@
         const auto path = pathAround(lostAddress);
         if (!path) {
             logLine(log_level::info, "stream_not_moved", {{"request", m_facts.id}, {"lost", lostAddress}, {"reason", "no replacement"}});
-            co_return false;
+            co_return mayWaitForStage();
         }
         auto answer = std::make_shared<one_shot<order_answer>>(m_state.context, std::chrono::steady_clock::now() + ORDER_WAIT);
         m_state.control.orderRepath(path->front().address, path->front().server, m_facts.id, *path, [answer](order_outcome outcome, const std::string &faulty) {
@@ -400,6 +400,14 @@
     co_return false;
 }
 
+// Without a stage to replace the lost one, a run is worth waiting for unless another whole path could take over.
+bool generation_flow::mayWaitForStage()
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    const bool elsewhere = mayRunAgain() && m_state.choosePath(*service(), m_facts.tokens, m_avoided, true, now);
+    return !elsewhere && ++m_silences < MOST_SILENCES;
+}
+
 // The path in use with other stages in place of the lost one; nothing if the first stage is lost or no others are there.
 std::optional<std::vector<path_stage>> generation_flow::pathAround(const std::string &lostAddress) const
 {
