--- a/spec/giver.pml
+++ b/spec/giver.pml
@@ -12,8 +12,8 @@
  */
 #define HOLD 2        /* ticks for which a holder may act after it began its last append */
 #define TAKEOVER 3    /* ticks for which another one waits after it first saw the newest entry */
-#define MOST_TICKS 9
-#define MOST_LOG 3
+#define MOST_TICKS 6
+#define MOST_LOG 2
 #define NONE 2
 
 byte now = 0;
