A failure domain with a lasting gap shares its layers anew

Ruled out: room, which was free on the held layers. Change: after 5 s all live servers of the domain share the layers in the order of what they hold. Silent plain answers no longer count as a lost server: test requests with short timeouts caused that.

--- a/src/core/layer_placement.cpp
+++ b/src/core/layer_placement.cpp
@@ -1,4 +1,4 @@
-// Sections: room, placement of empty servers, repair of gaps.
+// Sections: room, placement of empty servers, repair of gaps, rebalancing of a failure domain.
 
 #include "core/layer_placement.h"
 
@@ -13,10 +13,10 @@
 
 using domain_members = std::map<domain_id, std::vector<placed_server>>;
 
-constexpr double OTHER_DOMAIN_SHARE = 0.04; // weight of room elsewhere: it decides between equals
+constexpr double OTHER_DOMAIN_SHARE = 0.04;  // weight of room elsewhere: it decides between equals
 constexpr double SCARCE_ROOM_TOKENS = 2'000; // two requests: less serves nobody
 constexpr double SCARCE_STEP_TOKENS = 1'000;
-constexpr double NO_ROOM_PENALTY = 8'000;   // tokens; keeps the worth of a first copy finite
+constexpr double NO_ROOM_PENALTY = 8'000; // tokens; keeps the worth of a first copy finite
 
 // Room for requests on each layer, in tokens.
 struct layer_room
@@ -240,4 +240,58 @@
     return plan;
 }
 
+//-----------------------------------------------------------------------------
+// Rebalancing of a failure domain
+//-----------------------------------------------------------------------------
+
+std::vector<domain_id> gappedDomains(const engine_profile &engine, const std::vector<placed_server> &servers)
+{
+    std::vector<domain_id> found;
+    for (const auto &[domain, members] : groupByDomain(engine, servers)) {
+        const std::vector<layer_range> gaps = gapsOf(members, engine.layers);
+        if (!gaps.empty() && gaps.front().count() < engine.layers) {
+            found.push_back(domain);
+        }
+    }
+    return found;
+}
+
+std::vector<layer_assignment> planRebalance(const engine_profile &engine, const std::vector<placed_server> &servers, const domain_id &domain)
+{
+    const domain_members groups = groupByDomain(engine, servers);
+    const auto members = groups.find(domain);
+    if (members == groups.end()) {
+        return {};
+    }
+    std::vector<placed_server> live;
+    for (const placed_server &server : members->second) {
+        if (server.changing) {
+            return {}; // one change at a time
+        }
+        if (!server.lost && server.range.count() > 0) {
+            live.push_back(server);
+        }
+    }
+    std::sort(live.begin(), live.end(), [](const placed_server &left, const placed_server &right) {
+        const int leftMiddle = left.range.first + left.range.last;
+        const int rightMiddle = right.range.first + right.range.last;
+        return leftMiddle != rightMiddle ? leftMiddle < rightMiddle : left.id < right.id;
+    });
+    placement_limits limits;
+    limits.wantedCopies = 1;
+    const double room = chooseRoom(engine, live, limits);
+    std::vector<layer_assignment> plan;
+    int next = 0;
+    for (const placed_server &server : live) {
+        const int count = layersWithRoom(engine, engine.kinds.at(server.accelerator), room);
+        const int first = std::min(next, engine.layers - count);
+        next = std::max(next, first + count);
+        const layer_range range{first, first + count};
+        if (range != server.range) {
+            plan.push_back({server.id, range});
+        }
+    }
+    return next >= engine.layers ? plan : std::vector<layer_assignment>();
+}
+
 }
--- a/src/core/layer_placement.h
+++ b/src/core/layer_placement.h
@@ -51,6 +51,13 @@
 // Ranges for all servers without one, largest servers first: each where its domain has the least room.
 std::vector<layer_assignment> planPlacement(const engine_profile &engine, const std::vector<placed_server> &servers, const placement_limits &limits);
 
+// Failure domains that hold some layers, but not all of them.
+std::vector<domain_id> gappedDomains(const engine_profile &engine, const std::vector<placed_server> &servers);
+
+// New ranges for a failure domain whose gap its neighbours cannot bridge: all live servers share the layers anew, in the
+// order of what they hold, so that each loads little. Empty if their memory is too small or nothing would change.
+std::vector<layer_assignment> planRebalance(const engine_profile &engine, const std::vector<placed_server> &servers, const domain_id &domain);
+
 // Extensions that cover layers which no live server of a failure domain holds: the neighbours of each gap take it over as
 // far as their memory allows.
 std::vector<layer_assignment> planRepair(const engine_profile &engine, const std::vector<placed_server> &servers, const placement_limits &limits);
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -3,6 +3,8 @@
 #include "kernel/clock.h"
 #include "kernel/log.h"
 
+#include <algorithm>
+
 namespace chestnut
 {
 
@@ -14,6 +16,7 @@
 constexpr milliseconds TICK{250};
 constexpr milliseconds ORDER_LIFE{15'000};   // a late order has been carried out by then
 constexpr milliseconds LOST_AFTER{700};      // unreachable for so long: its layers are covered by others
+constexpr milliseconds GAP_PATIENCE{5000};   // a crashed server is back by then
 constexpr milliseconds ORDER_RETRY{3000};    // after an order that certainly did not begin
 constexpr milliseconds FLEET_SETTLE{1400};   // servers register one after the other when all start
 constexpr milliseconds NEWCOMER_SETTLE{100}; // of a fleet that mostly holds layers
@@ -165,12 +168,35 @@
     if (plan.empty()) {
         plan = planRepair(*service.engine, servers, {}); // newcomers first: they cost nobody any room
     }
+    if (plan.empty()) {
+        plan = planLastingGaps(*service.engine, servers, now);
+    }
     for (const layer_assignment &assignment : plan) {
         m_pending[assignment.server] = {assignment.range, now};
         order(m_fleet->servers.at(assignment.server), assignment.range);
     }
 }
 
+// A gap that neither newcomers nor neighbours have closed for a while is closed by the whole failure domain.
+std::vector<layer_assignment> control_plane::planLastingGaps(const engine_profile &engine, const std::vector<placed_server> &servers, steady_time now)
+{
+    const std::vector<domain_id> gapped = gappedDomains(engine, servers);
+    std::erase_if(m_gapSince, [&](const auto &entry) { return std::find(gapped.begin(), gapped.end(), entry.first) == gapped.end(); });
+    for (const domain_id &domain : gapped) {
+        const steady_time since = m_gapSince.try_emplace(domain, now).first->second;
+        if (now - since < GAP_PATIENCE) {
+            continue;
+        }
+        const std::vector<layer_assignment> plan = planRebalance(engine, servers, domain);
+        m_gapSince[domain] = now; // the next look is as far away
+        if (!plan.empty()) {
+            logLine(log_level::info, "domain_rebalanced", {{"domain", domain.text}, {"orders", std::to_string(plan.size())}});
+            return plan;
+        }
+    }
+    return {};
+}
+
 void control_plane::noteFaults(std::map<std::string, steady_time> faultySince)
 {
     m_faultySince = std::move(faultySince);
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -148,7 +148,7 @@
     ++m_outcome.runs;
     if (status != exchange_status::ok || isSpoilt()) {
         if (!m_abandoned) {
-            noteFailure(server.address, status == exchange_status::timed_out ? failure_kind::silent : failure_kind::broken);
+            noteFailure(server.address, failure_kind::broken); // one slow answer shows no lost server
         }
         logLine(log_level::info, "answer_unusable",
                 {{"request", m_facts.id},
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -187,6 +187,38 @@
     CHECK(repaired * 2 > gaps); // neighbours of the largest servers have too little memory for what those held
 }
 
+TEST_CASE("a domain that lost any one server covers all layers again by sharing them anew", "[unit]")
+{
+    const engine_profile engine = makeEngine();
+    std::vector<placed_server> whole = makeFleet();
+    applyPlan(whole, planPlacement(engine, whole, {}));
+    int rebalanced = 0;
+    for (std::size_t lost = 0; lost < whole.size(); ++lost) {
+        std::vector<placed_server> servers = whole;
+        servers[lost].lost = true;
+        const std::string domain = servers[lost].domain.text;
+        if (covers(servers, domain)) {
+            CHECK(gappedDomains(engine, servers).empty());
+            continue;
+        }
+        REQUIRE(gappedDomains(engine, servers).size() == 1);
+        const auto plan = planRebalance(engine, servers, domain_id{domain});
+        applyPlan(servers, plan);
+        CHECK(covers(servers, domain));
+        for (const placed_server &server : servers) {
+            CHECK(server.range.count() * engine.layerMb < engine.kinds.at(server.accelerator).memoryMb);
+        }
+        ++rebalanced;
+    }
+    CHECK(rebalanced > 0);
+    // Nothing is moved while an order is under way, and a domain that holds nothing is placement's matter.
+    std::vector<placed_server> servers = whole;
+    servers.front().lost = true;
+    servers[1].changing = true;
+    CHECK(planRebalance(engine, servers, servers.front().domain).empty());
+    CHECK(gappedDomains(engine, makeFleet()).empty());
+}
+
 TEST_CASE("a domain without memory for all layers gives up room before layers", "[unit]")
 {
     const engine_profile engine = makeEngine();
