The giver's lease never believes the log longer than it is

Ruled out: clocks and the store's answers. Change: the end after an own append is the one asked for plus one.

--- a/src/core/giver_lease.cpp
+++ b/src/core/giver_lease.cpp
@@ -39,6 +39,7 @@
 void giver_lease::noteSent(steady_time now)
 {
     m_sent = now;
+    m_sentEnd = m_end;
 }
 
 void giver_lease::noteAppended(bool appended)
@@ -47,7 +48,7 @@
         m_held = m_sent;
         m_holder = m_self;
         m_seen = *m_sent;
-        ++m_end;
+        m_end = std::max(m_end, m_sentEnd + 1); // a read may have shown the own entry already
     }
     m_sent.reset();
 }
--- a/src/core/giver_lease.h
+++ b/src/core/giver_lease.h
@@ -61,6 +61,7 @@
     std::string m_holder;              // of the newest entry seen
     steady_time m_seen{};              // when that entry was first seen
     std::optional<steady_time> m_sent; // an append is under way since
+    std::uint64_t m_sentEnd = 0;       // end that this append asked for
     std::optional<steady_time> m_held; // begin of the append that gave or renewed the lease
 };
 
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -368,10 +368,15 @@
         std::vector<std::string> log;
         std::vector<giver_lease> leases{giver_lease("a", {}), giver_lease("b", {}), giver_lease("c", {})};
         std::vector<std::size_t> position(leases.size(), 0);
+        std::vector<std::optional<bool>> answers(leases.size()); // of appends, on their way
         for (int step = 0; step < 600; ++step) {
             const steady_time now = NOW + milliseconds(step * 50);
             for (std::size_t i = 0; i < leases.size(); ++i) {
                 giver_lease &lease = leases[i];
+                if (answers[i] && random(100) < 50) {
+                    lease.noteAppended(*answers[i]);
+                    answers[i].reset();
+                }
                 if (random(100) < 40) {
                     std::optional<std::string> newest;
                     if (position[i] < log.size()) {
@@ -380,14 +385,15 @@
                     }
                     lease.noteRead(log.size(), newest, now);
                 }
-                if (random(100) < 50 && lease.shouldAppend(now)) {
+                if (!answers[i] && random(100) < 50 && lease.shouldAppend(now)) {
                     lease.noteSent(now);
                     const bool done = lease.end() == log.size();
                     if (done) {
                         log.push_back(lease.self());
                     }
+                    REQUIRE(lease.end() <= log.size()); // never beyond the real end
                     if (random(100) < 70) {
-                        lease.noteAppended(done);
+                        answers[i] = done;
                     }
                 }
             }
