A report older than a move does not end the run; gaps are closed by few shifts

Closing a lasting gap reordered up to 14 servers of a domain at once. Ruled out: refused orders (outcome begun). Test failed before.

--- a/src/core/layer_placement.cpp
+++ b/src/core/layer_placement.cpp
@@ -256,42 +256,109 @@
     return found;
 }
 
+namespace
+{
+
+// One server on the way from a gap to the memory that closes it.
+struct shifted_server
+{
+    const placed_server *server;
+    layer_range range; // its new one
+};
+
+layer_range mirrored(const layer_range &range, int layers)
+{
+    return {layers - range.last, layers - range.first};
+}
+
+// The live server that holds the layer below an edge and can take over most; null if there is none.
+const placed_server *holderBelow(const engine_profile &engine, const std::vector<placed_server> &members, const placement_limits &limits, int edge)
+{
+    const placed_server *best = nullptr;
+    int bestReach = 0;
+    for (const placed_server &server : members) {
+        const bool holds = server.range.first < edge && server.range.last >= edge;
+        if (server.lost || server.changing || server.range.count() <= 0 || !holds) {
+            continue;
+        }
+        const int reach = mostExtended(engine, server, limits) - server.range.count() + (server.range.last - edge);
+        if (best == nullptr || reach > bestReach) {
+            bestReach = reach;
+            best = &server;
+        }
+    }
+    return best;
+}
+
+// Shifts that let the servers below `edge` hold the layers up to `wanted`: each takes over at its upper end and gives up at
+// its lower end what the next one takes over in turn. Empty if their memory does not suffice.
+std::vector<shifted_server> shiftUp(const engine_profile &engine, const std::vector<placed_server> &members, const placement_limits &limits, int edge,
+                                    int wanted)
+{
+    std::vector<shifted_server> shifts;
+    while (wanted > edge) {
+        const placed_server *server = holderBelow(engine, members, limits, edge);
+        const bool used = std::any_of(shifts.begin(), shifts.end(), [server](const shifted_server &one) { return one.server == server; });
+        if (server == nullptr || used) {
+            return {};
+        }
+        if (server->range.last >= wanted) {
+            return shifts; // what lies below is covered twice
+        }
+        const int first = std::max(server->range.first, wanted - mostExtended(engine, *server, limits));
+        if (first >= wanted) {
+            return {};
+        }
+        shifts.push_back({server, {first, wanted}});
+        edge = server->range.first;
+        wanted = first;
+    }
+    return shifts;
+}
+
+}
+
 std::vector<layer_assignment> planRebalance(const engine_profile &engine, const std::vector<placed_server> &servers, const domain_id &domain)
 {
     const domain_members groups = groupByDomain(engine, servers);
-    const auto members = groups.find(domain);
-    if (members == groups.end()) {
+    const auto found = groups.find(domain);
+    if (found == groups.end()) {
         return {};
     }
-    std::vector<placed_server> live;
-    for (const placed_server &server : members->second) {
-        if (server.changing) {
-            return {}; // one change at a time
+    const std::vector<placed_server> &members = found->second;
+    const std::vector<layer_range> gaps = gapsOf(members, engine.layers);
+    if (gaps.empty() || gaps.front().count() == engine.layers) {
+        return {};
+    }
+    const layer_range gap = gaps.front();
+    std::vector<placed_server> turned = members; // seen from the last layer downwards
+    for (placed_server &server : turned) {
+        server.range = server.range.count() > 0 ? mirrored(server.range, engine.layers) : layer_range{};
+    }
+    // Every share of the gap between both sides is tried; the plan that moves fewest servers wins.
+    const placement_limits limits;
+    std::vector<layer_assignment> best;
+    for (int split = gap.first; split <= gap.last; ++split) {
+        const auto below = shiftUp(engine, members, limits, gap.first, split);
+        const auto above = shiftUp(engine, turned, limits, engine.layers - gap.last, engine.layers - split);
+        const bool whole = (split == gap.first || !below.empty()) && (split == gap.last || !above.empty());
+        if (!whole || (!best.empty() && below.size() + above.size() >= best.size())) {
+            continue;
         }
-        if (!server.lost && server.range.count() > 0) {
-            live.push_back(server);
+        std::vector<layer_assignment> plan;
+        for (const shifted_server &shift : below) {
+            plan.push_back({shift.server->id, shift.range});
         }
-    }
-    std::sort(live.begin(), live.end(), [](const placed_server &left, const placed_server &right) {
-        const int leftMiddle = left.range.first + left.range.last;
-        const int rightMiddle = right.range.first + right.range.last;
-        return leftMiddle != rightMiddle ? leftMiddle < rightMiddle : left.id < right.id;
-    });
-    placement_limits limits;
-    limits.wantedCopies = 1;
-    const double room = chooseRoom(engine, live, limits);
-    std::vector<layer_assignment> plan;
-    int next = 0;
-    for (const placed_server &server : live) {
-        const int count = layersWithRoom(engine, engine.kinds.at(server.accelerator), room);
-        const int first = std::min(next, engine.layers - count);
-        next = std::max(next, first + count);
-        const layer_range range{first, first + count};
-        if (range != server.range) {
-            plan.push_back({server.id, range});
+        bool twice = false;
+        for (const shifted_server &shift : above) {
+            twice = twice || std::any_of(plan.begin(), plan.end(), [&](const layer_assignment &one) { return one.server == shift.server->id; });
+            plan.push_back({shift.server->id, mirrored(shift.range, engine.layers)});
+        }
+        if (!twice) {
+            best = plan;
         }
     }
-    return next >= engine.layers ? plan : std::vector<layer_assignment>();
+    return best;
 }
 
 }
--- a/src/core/layer_placement.h
+++ b/src/core/layer_placement.h
@@ -54,8 +54,9 @@
 // Failure domains that hold some layers, but not all of them.
 std::vector<domain_id> gappedDomains(const engine_profile &engine, const std::vector<placed_server> &servers);
 
-// New ranges for a failure domain whose gap its neighbours cannot bridge: all live servers share the layers anew, in the
-// order of what they hold, so that each loads little. Empty if their memory is too small or nothing would change.
+// New ranges that close a gap which its neighbours cannot bridge alone: servers shift towards it, each giving up at its far
+// end what the next one takes over, until enough memory is found. Moves as few servers as it can; empty if there is too
+// little memory.
 std::vector<layer_assignment> planRebalance(const engine_profile &engine, const std::vector<placed_server> &servers, const domain_id &domain);
 
 // Extensions that cover layers which no live server of a failure domain holds: the neighbours of each gap take it over as
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -353,7 +353,8 @@
         co_return false;
     }
     const auto stalled = report->stalledRequests.find(m_facts.id);
-    if (stalled == report->stalledRequests.end() || stalled->second.empty()) {
+    const bool named = stalled != report->stalledRequests.end() && !stalled->second.empty();
+    if (!named || !usesStage(stalled->second)) { // a report is some hundred ms old and may name a stage that was replaced
         co_return ++m_silences < MOST_SILENCES;
     }
     avoid(stalled->second, failure_kind::silent);
@@ -400,6 +401,11 @@
     co_return false;
 }
 
+bool generation_flow::usesStage(const std::string &address) const
+{
+    return std::any_of(m_path.begin(), m_path.end(), [&](const path_stage &stage) { return stage.address == address; });
+}
+
 // Without a stage to replace the lost one, a run is worth waiting for unless another whole path could take over.
 bool generation_flow::mayWaitForStage()
 {
--- a/tests/gateway_path_test.cpp
+++ b/tests/gateway_path_test.cpp
@@ -572,6 +572,53 @@
     CHECK(sent->header("X-Chestnutgw-Hop-Count") == first.address() + "=0-2," + lost.address() + "=2-4");
 }
 
+TEST_CASE("a report that is older than the move does not end the run", "[failure]")
+{
+    std::atomic<int> reports = 0;
+    std::atomic<bool> moved = false;
+    std::string lostAddress;
+    scripted_server lost([](raw_connection &out, const raw_request &) {
+        out.waitForClose(5000);
+        return false;
+    });
+    lostAddress = lost.address();
+    scripted_server first([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            ++reports;
+            out.write(report(in, "id1", lostAddress)); // names the lost stage also after the move
+            return true;
+        }
+        if (in.target() == "/order") {
+            moved = true;
+            out.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+            return true;
+        }
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return moved && reports >= 3; });
+        out.write(events(2, 3) + "0\r\n\r\n");
+        return true;
+    });
+    const server_script idle = [](raw_connection &out, const raw_request &in) {
+        out.write(report(in));
+        return true;
+    };
+    scripted_server spare(idle);
+    scripted_server other(idle);
+    deployment site;
+    site.addServer("i-1", "lm", first.address(), 0, 2);
+    site.addServer("i-2", "lm", lost.address(), 2, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(call("/stream/", "id1"));
+    client.readUntil("piece1");
+    site.addServer("i-3", "lm", spare.address(), 2, 4);
+    site.addServer("i-4", "lm", other.address(), 0, 4); // a whole path elsewhere, which must not tempt
+    const std::string got = client.readUntil("0\r\n\r\n", 9000);
+    CHECK(countOf(got, "piece3") == 1);
+    const std::vector<raw_request> seen = first.requests();
+    CHECK(std::count_if(seen.begin(), seen.end(), [](const raw_request &one) { return one.target().starts_with("/stream/"); }) == 1);
+}
+
 TEST_CASE("a path that a stage refuses is replaced by one without that stage", "[failure]")
 {
     std::string faulty;
