--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -22,10 +22,6 @@
     asio::awaitable<bool> writeStream(const std::string &bytes) override;
     asio::awaitable<bool> finishStream() override;
     void cut() override;
-    bool clientGone() const override
-    {
-        return m_gone;
-    }
 
 private:
     using request_parser = http::request_parser<http::string_body>;
--- a/src/gateway/front_server.cpp
+++ b/src/gateway/front_server.cpp
@@ -161,10 +161,4 @@
     }
 }
 
-void front_server::stopAccepting()
-{
-    error_code ignored; // listening ends either way
-    m_front.close(ignored);
-}
-
 }
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -22,8 +22,6 @@
     void beginDrain();
     // Closes idle client connections.
     void closeIdle();
-    // Stops listening for clients.
-    void stopAccepting();
 
 private:
     asio::awaitable<void> acceptClients();
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -5,7 +5,7 @@
 namespace chestnut
 {
 
-const setting_row<gateway_settings> GATEWAY_SETTINGS[17] = {
+const setting_row<gateway_settings> GATEWAY_SETTINGS[16] = {
     {"instance.name", &gateway_settings::name, 1, 100, "text", "instance name, unique in the deployment"},
     {"instance.failure_domain", &gateway_settings::failureDomain, 1, 100, "text", "failure domain of this instance"},
     {"instance.front", &gateway_settings::frontAddress, 9, 21, "IP:port", "address for clients"},
@@ -19,7 +19,6 @@
     {"repeats.extra", &gateway_settings::repeatExtra, 0, 1e6, "repeats", "part of the budget that is always there, all instances together"},
     {"repeats.window", &gateway_settings::repeatWindow, 100, 600000, "ms", "window of the budget"},
     {"repeats.instances", &gateway_settings::expectedInstances, 1, 10000, "instances", "share the extra repeats equally"},
-    {"backend.stall_timeout", &gateway_settings::stallTimeout, 100, 600000, "ms", "servers cut work that waits so long for a lost stage"},
     {"log.format", &gateway_settings::logFormat, 4, 4, "word", "text or json"},
     {"log.level", &gateway_settings::logLevel, 4, 7, "word", "debug, info, warning or error"},
     {"log.lines_per_second", &gateway_settings::logLinesPerSecond, 1, 100000, "lines/s", "further lines of requests are counted, not written"},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -24,13 +24,12 @@
     double repeatExtra = 20;                       // repeats allowed on top in one window, all instances together
     milliseconds repeatWindow{10000};              // window of the two above
     int expectedInstances = 7;                     // instances that share the extra repeats
-    milliseconds stallTimeout{3000};               // after which a server cuts work that waits for a lost stage
     std::string logFormat = "json";                // text or json
     std::string logLevel = "info";                 // debug, info, warning or error
     int logLinesPerSecond = 150;                   // further lines are counted, not written
 };
 
-extern const setting_row<gateway_settings> GATEWAY_SETTINGS[17];
+extern const setting_row<gateway_settings> GATEWAY_SETTINGS[16];
 
 // Throws settings_error on values that do not fit together.
 void checkSettings(const gateway_settings &settings);
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -166,6 +166,7 @@
 void gateway_process::reportLoad()
 {
     const steady_time now = std::chrono::steady_clock::now();
+    m_counters.set("peers_live", m_state.peers.livePeers(now));
     m_control.post([this, loads = m_state.ownLoads(now), faulty = m_state.health.faulty(now)]() mutable {
         m_ownLoads = std::move(loads);
         m_plane.noteFaults(std::move(faulty));
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -65,8 +65,7 @@
     bool busy = false;               // an order is being carried out
     std::uint64_t orderSequence = 0; // orders begun since the server's start
     layer_range held;
-    std::vector<std::string> stalledAt;                 // addresses that running requests wait for
-    std::map<std::string, std::string> stalledRequests; // request id -> address it waits for
+    std::map<std::string, std::string> stalledRequests; // request id -> address of the stage that it waits for
 };
 
 enum class order_outcome
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -23,7 +23,6 @@
     virtual asio::awaitable<bool> finishStream() = 0;
     // Closes the connection, so that the answer does not look complete.
     virtual void cut() = 0;
-    virtual bool clientGone() const = 0;
 };
 
 using client_message = http::request<http::string_body>;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -89,10 +89,6 @@
     grpc::ServerUnaryReactor *exchange(grpc::CallbackServerContext *context, const wire::gateway_state *request, wire::gateway_state *reply) override;
     void round();
     void addPeer(const std::string &instance, const std::string &address);
-    void setLeaving()
-    {
-        m_leaving = true;
-    }
     const std::string &address() const
     {
         return m_settings.address;
@@ -111,7 +107,6 @@
     mesh_handler m_handler;
     std::map<std::string, peer_entry> m_peers; // loop thread only
     std::unique_ptr<grpc::Server> m_server;
-    bool m_leaving = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); // loop thread only
     std::atomic<int> m_underWay = 0;                              // outgoing calls whose callback has not run
 };
@@ -165,7 +160,6 @@
     message->set_failure_domain(m_settings.domain);
     message->set_address(m_settings.address);
     message->set_incarnation(m_settings.incarnation);
-    message->set_leaving(m_leaving);
     toMessage(m_handler.loads(), message);
     const news_mark own = m_handler.mark();
     message->set_config_version(own.configVersion);
@@ -300,9 +294,4 @@
     m_impl->addPeer(instance, address);
 }
 
-void mesh_node::setLeaving()
-{
-    m_impl->setLeaving();
-}
-
 }
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -54,7 +54,6 @@
     void start();
     // An instance that is known to exist or to have existed. Loop thread only.
     void addPeer(const std::string &instance, const std::string &address);
-    void setLeaving();
 
 private:
     class implementation;
