One check for spoilt answers; a flag without a reader is gone

Cause: reading the change again: generations and plain requests each had their own check of encoding and signature, and the watch of a run set a flag that nobody read. Change: request_flow::isSpoilt serves both; the flag is removed. Behaviour stays.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -205,7 +205,6 @@
             co_return;
         }
         if (!goOn) {
-            watch->givenUp = true;
             exchange->abort();
             co_return;
         }
@@ -238,8 +237,7 @@
     if (head.status < 200 || head.status >= 300) {
         co_return co_await forwardWhole(exchange);
     }
-    const bool spoilt = !headerValue(head.headers, "Content-Encoding").empty() || headerValue(head.headers, m_state.words.signature).empty();
-    if (spoilt) {
+    if (isSpoilt(head)) {
         avoid(path.front().address, failure_kind::broken);
         co_return run_result::broken;
     }
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -35,8 +35,7 @@
         {
         }
         asio::steady_timer timer;
-        bool ended = false;   // the run is over
-        bool givenUp = false; // the watch closed the run's connection
+        bool ended = false; // the run is over
     };
     asio::awaitable<std::optional<std::vector<path_stage>>> findPathFor();
     asio::awaitable<run_result> runOnce(const std::vector<path_stage> &path);
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -91,14 +91,6 @@
     return lastTry ? m_facts.deadline : std::min<steady_time>(m_facts.deadline, start + patience);
 }
 
-// Bytes that are not what the server meant to say.
-bool plain_flow::isSpoilt() const
-{
-    const bool encoded = !headerValue(m_head.headers, "Content-Encoding").empty();
-    const bool unsignedSuccess = m_head.status < 300 && headerValue(m_head.headers, m_state.words.signature).empty();
-    return encoded || unsignedSuccess;
-}
-
 asio::awaitable<plain_flow::try_result> plain_flow::tryServer(const listed_server &server)
 {
     const steady_time start = std::chrono::steady_clock::now();
@@ -146,7 +138,7 @@
         co_return try_result::not_run;
     }
     ++m_outcome.runs;
-    if (status != exchange_status::ok || isSpoilt()) {
+    if (status != exchange_status::ok || isSpoilt(m_head)) {
         if (!m_abandoned) {
             noteFailure(server.address, failure_kind::broken); // one slow answer shows no lost server
         }
--- a/src/gateway/plain_flow.h
+++ b/src/gateway/plain_flow.h
@@ -24,7 +24,6 @@
     asio::awaitable<try_result> tryServer(const listed_server &server);
     bool mayRepeat() const;
     steady_time tryUntil(steady_time start) const;
-    bool isSpoilt() const;
 
     answer_head m_head;
     std::string m_body;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -132,6 +132,13 @@
     return head.status == 421 || !headerValue(head.headers, m_state.words.notRun).empty();
 }
 
+bool request_flow::isSpoilt(const answer_head &head) const
+{
+    const bool encoded = !headerValue(head.headers, "Content-Encoding").empty();
+    const bool unsignedSuccess = head.status < 300 && headerValue(head.headers, m_state.words.signature).empty();
+    return encoded || unsignedSuccess;
+}
+
 void request_flow::noteLoad(const answer_head &head, const std::string &address)
 {
     int running = 0;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -80,6 +80,8 @@
     asio::awaitable<void> passOn(const answer_head &head, const std::string &body);
     // True if the server says that it did not run the request.
     bool saysNotRun(const answer_head &head) const;
+    // True if the bytes are not what the server meant to say: encoded on the way, or a success without its signature.
+    bool isSpoilt(const answer_head &head) const;
     void noteLoad(const answer_head &head, const std::string &address);
     void noteFailure(const std::string &address, failure_kind kind);
     bool overdue() const;
