Stopping instances take what they can still finish and say when to come back; silence alone ends no stream

Change: stream times are learnt (core/answer_time); reports between instances carry the time until the sender ends, and Retry-After is that of the first restart while most are stopping; a run is given up for silence only if another one may follow and has a path. Tests: 'a silent stream that nothing can replace is waited for' (failed before: two runs), 'SIGHUP cuts no stream and refuses no request', two unit tests.

--- a/src/core/shared_load.cpp
+++ b/src/core/shared_load.cpp
@@ -68,6 +68,25 @@
     return found;
 }
 
+peer_readiness shared_load::readiness(steady_time now) const
+{
+    peer_readiness result;
+    for (const auto &[instance, known] : m_reports) {
+        const peer_report &report = known.report;
+        if (report.stopping.count() == 0) {
+            result.ready += isFresh(report, now) ? 1 : 0;
+            continue;
+        }
+        const auto left = std::chrono::ceil<milliseconds>(report.received + report.stopping - now);
+        if (left.count() <= 0) {
+            continue; // it has ended
+        }
+        ++result.stopping;
+        result.firstEnd = std::min(result.firstEnd.value_or(left), left);
+    }
+    return result;
+}
+
 int shared_load::livePeers(steady_time now) const
 {
     const auto fresh = [now](const auto &entry) { return isFresh(entry.second.report, now); };
--- a/src/core/shared_load.h
+++ b/src/core/shared_load.h
@@ -8,6 +8,7 @@
 #include "core/server_health.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace chestnut
@@ -30,6 +31,15 @@
     std::uint64_t incarnation = 0;
     std::vector<server_load> loads;
     steady_time received{};
+    milliseconds stopping{0}; // the peer ends within so long, 0 = it goes on
+};
+
+// Which instances take requests, as far as the peers' reports tell.
+struct peer_readiness
+{
+    int ready = 0;                        // go on
+    int stopping = 0;                     // are about to end
+    std::optional<milliseconds> firstEnd; // until the first of those has ended
 };
 
 class shared_load
@@ -41,6 +51,7 @@
     int running(const std::string &address, steady_time now) const;
     // Servers that a believed peer has just found at fault, with how long they are to be avoided.
     std::vector<server_load> avoided(int fleetSize, steady_time now) const;
+    peer_readiness readiness(steady_time now) const;
     // Peers heard of lately, this instance not counted.
     int livePeers(steady_time now) const;
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -25,10 +25,10 @@
 constexpr milliseconds REJECT_LINGER{200};          // time to read on after an early refusal, so that the answer is not reset
 constexpr std::size_t MOST_EARLY_BYTES = 64 * 1024; // of the next request, read while one is answered
 constexpr int USER_TIMEOUT_MS = 4000;
-constexpr double DEFAULT_TOKENS = 800;        // of a generation that names no size
-constexpr milliseconds GENERATION_START{500}; // until the first token
-constexpr milliseconds TOKEN_TIME{32};        // of one token on a busy path
-constexpr milliseconds STOPPING_RETRY{150};   // another instance takes the request at once
+constexpr double DEFAULT_TOKENS = 800;      // of a generation that names no size
+constexpr milliseconds STOPPING_RETRY{150}; // another instance takes the request at once
+constexpr milliseconds RESTART_TIME{900};   // from the end of a process until its successor takes requests
+constexpr milliseconds RETURN_SPREAD{1000}; // over which those that wait for a restart return
 
 auto into(error_code &error)
 {
@@ -59,11 +59,12 @@
     facts.mostAnswer = most;
 }
 
-// Longest time that an answer should take; a stopping instance takes only what ends before it does.
-milliseconds longestAnswer(const request_facts &facts)
+// Events of a generation's longest answer.
+double mostEvents(const request_facts &facts)
 {
-    const bool generation = facts.matched->kind == route_kind::stream;
-    return generation ? GENERATION_START + TOKEN_TIME * static_cast<int>(facts.mostAnswer) : facts.matched->timeout;
+    const auto service = facts.config->services.find(facts.service);
+    const bool engine = service != facts.config->services.end() && service->second.engine;
+    return facts.mostAnswer / (engine ? std::max(1, service->second.engine->stride) : 1);
 }
 
 }
@@ -96,6 +97,26 @@
     m_stream.socket().close(ignored);
 }
 
+// Longest time that an answer should take; a stopping instance takes only what ends before it does.
+milliseconds caller_session::longestAnswer(const request_facts &facts) const
+{
+    return facts.matched->kind == route_kind::stream ? m_state.streamTime.longest(mostEvents(facts)) : facts.matched->timeout;
+}
+
+// When another instance can take what a stopping one refuses: at once while most of them go on, else after the first
+// restart.
+milliseconds caller_session::stoppingRetry(steady_time now)
+{
+    const peer_readiness peers = m_state.peers.readiness(now);
+    if (peers.ready > peers.stopping) {
+        return STOPPING_RETRY;
+    }
+    const auto ownEnd = std::chrono::ceil<milliseconds>(m_state.drainEnd - now);
+    const milliseconds firstEnd = std::min(peers.firstEnd.value_or(ownEnd), ownEnd);
+    const auto spread = std::chrono::duration_cast<milliseconds>(RETURN_SPREAD * m_state.draw());
+    return std::max(STOPPING_RETRY, firstEnd) + RESTART_TIME + spread;
+}
+
 void caller_session::closeWhenIdle()
 {
     m_keepAlive = false;
@@ -209,7 +230,7 @@
     facts.deadline = facts.accepted + limit;
     readSize(message, words, facts);
     if (m_state.draining && facts.accepted + longestAnswer(facts) > m_state.drainEnd) {
-        co_await answerOwn(503, "stopping", facts.id, STOPPING_RETRY);
+        co_await answerOwn(503, "stopping", facts.id, stoppingRetry(facts.accepted));
         co_return false;
     }
     co_return true;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -31,6 +31,8 @@
     asio::awaitable<void> serve(client_message &message);
     // Fills the facts; false if an own answer was sent.
     asio::awaitable<bool> admit(const client_message &message, request_facts &facts);
+    milliseconds longestAnswer(const request_facts &facts) const;
+    milliseconds stoppingRetry(steady_time now);
     asio::awaitable<bool> writeAll(const std::string &bytes);
     asio::awaitable<void> answerOwn(int status, const char *reason, const std::string &id, milliseconds retryAfter = milliseconds(0));
     void watchClient();
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -185,6 +185,7 @@
     first.id = path.front().server;
     const std::string bytes = encodeRequest(first, extra, start);
     m_silences = 0;
+    m_headRead = false;
     m_lastProgress = std::chrono::steady_clock::now();
     const auto watch = std::make_shared<run_watch>(m_state.context);
     const scope_guard endWatch([watch] {
@@ -252,6 +253,7 @@
         co_return m_abandoned ? run_result::gone : run_result::not_run;
     }
     ++m_outcome.runs;
+    m_headRead = true;
     if (head.status < 200 || head.status >= 300) {
         co_return co_await forwardWhole(exchange);
     }
@@ -320,6 +322,10 @@
         }
     }
     m_outcome.reason = "complete";
+    if (m_outcome.runs == 1) {
+        const auto rest = std::chrono::duration_cast<milliseconds>(m_lastEvent - m_facts.accepted) - m_outcome.firstByte;
+        m_state.streamTime.note(m_outcome.firstByte, rest, m_splitter.events());
+    }
     co_await m_sink.finishStream();
     co_return run_result::complete;
 }
@@ -366,12 +372,16 @@
     }
     if (!report || !report->ok) {
         avoid(exchange.address(), failure_kind::silent);
-        co_return false;
+        co_return mayWaitOn();
     }
     const auto stalled = report->stalledRequests.find(m_facts.id);
     const bool named = stalled != report->stalledRequests.end() && !stalled->second.empty();
     if (!named || !usesStage(stalled->second)) { // a report is some hundred ms old and may name a stage that was replaced
-        co_return ++m_silences < MOST_SILENCES;
+        if (m_silences + 1 >= MOST_SILENCES) {
+            co_return mayWaitOn();
+        }
+        ++m_silences;
+        co_return true;
     }
     avoid(stalled->second, failure_kind::silent);
     co_return co_await repath(stalled->second);
@@ -384,7 +394,7 @@
         const auto path = pathAround(lostAddress);
         if (!path) {
             logLine(log_level::info, "stream_not_moved", {{"request", m_facts.id}, {"lost", lostAddress}, {"reason", "no replacement"}});
-            co_return mayWaitForStage();
+            co_return mayWaitOn();
         }
         auto answer = std::make_shared<one_shot<order_answer>>(m_state.context, std::chrono::steady_clock::now() + ORDER_WAIT);
         m_state.control.orderRepath(path->front().address, path->front().server, m_facts.id, *path, [answer](order_outcome outcome, const std::string &faulty) {
@@ -410,11 +420,11 @@
             co_return true;
         }
         if (!ordered || ordered->faulty.empty()) {
-            co_return false;
+            break;
         }
         avoid(ordered->faulty, failure_kind::refused);
     }
-    co_return false;
+    co_return mayWaitOn();
 }
 
 bool generation_flow::usesStage(const std::string &address) const
@@ -422,12 +432,15 @@
     return std::any_of(m_path.begin(), m_path.end(), [&](const path_stage &stage) { return stage.address == address; });
 }
 
-// Without a stage to replace the lost one, a run is worth waiting for unless another whole path could take over.
-bool generation_flow::mayWaitForStage()
+// A silent run that can neither be mended nor replaced is still worth waiting for: the client decides how long.
+bool generation_flow::mayWaitOn()
 {
     const steady_time now = std::chrono::steady_clock::now();
-    const bool elsewhere = mayRunAgain() && m_state.choosePath(*service(), m_facts.tokens, m_avoided, true, now);
-    return !elsewhere && ++m_silences < MOST_SILENCES;
+    const int runs = m_outcome.runs + (m_headRead ? 0 : 1);
+    const bool allowed = m_facts.matched->resumable && runs < m_facts.matched->maxAttempts && m_state.budgetOf(m_facts.service).left(now) >= 1;
+    const bool elsewhere = allowed && m_state.choosePath(*service(), m_facts.tokens, m_avoided, true, now);
+    ++m_silences;
+    return !elsewhere;
 }
 
 // The path in use with other stages in place of the lost one; nothing if the first stage is lost or no others are there.
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -56,7 +56,7 @@
     asio::awaitable<bool> repath(std::string lostAddress);
     void noteNoPath();
     bool usesStage(const std::string &address) const;
-    bool mayWaitForStage();
+    bool mayWaitOn();
     std::optional<std::vector<path_stage>> pathAround(const std::string &lostAddress) const;
     asio::awaitable<void> finishFailed(const char *reason);
     bool mayRunAgain() const;
@@ -72,6 +72,7 @@
     header_list m_headers;                 // of the first run's answer
     std::optional<std::uint64_t> m_lastId; // newest event that the client has
     bool m_began = false;                  // the head was sent to the client
+    bool m_headRead = false;               // the run under way has been counted
     int m_silences = 0;                    // in a row, without an event between
     steady_time m_lastEvent{};             // when the client got one
     steady_time m_lastAlive{};             // when the path's servers were last noted as living
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -95,6 +95,7 @@
     control_plane m_plane;
     std::unique_ptr<mesh_node> m_mesh;
     std::vector<server_load> m_ownLoads; // control thread only
+    milliseconds m_ownStopping{0};       // until this process ends, 0 = it goes on; control thread only
     http_server m_metrics;
     asio::signal_set m_signals;
     asio::steady_timer m_drainTimer;
@@ -141,6 +142,7 @@
 {
     mesh_handler handler;
     handler.loads = [this] { return m_ownLoads; };
+    handler.stopping = [this] { return m_ownStopping; };
     handler.onReport
         = [this](peer_report report) { asio::post(m_context, [this, report = std::move(report)]() mutable { m_state.takePeerReport(std::move(report)); }); };
     handler.mark = [this] { return m_port->mark(); };
@@ -167,7 +169,10 @@
 {
     const steady_time now = std::chrono::steady_clock::now();
     m_counters.set("peers_live", m_state.peers.livePeers(now));
-    m_control.post([this, loads = m_state.ownLoads(now), faulty = m_state.health.faulty(now)]() mutable {
+    const auto left = std::chrono::ceil<milliseconds>(m_state.drainEnd - now);
+    const milliseconds stopping = m_state.draining ? std::max(left, milliseconds(1)) : milliseconds(0);
+    m_control.post([this, stopping, loads = m_state.ownLoads(now), faulty = m_state.health.faulty(now)]() mutable {
+        m_ownStopping = stopping;
         m_ownLoads = std::move(loads);
         m_plane.noteFaults(std::move(faulty));
     });
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -3,6 +3,7 @@
 // State of the thread that carries requests: what is in force, what was seen of servers, what is in flight. Only that
 // thread touches it; the control thread hands over immutable snapshots.
 
+#include "core/answer_time.h"
 #include "core/gateway_types.h"
 #include "core/layer_path.h"
 #include "core/repeat_budget.h"
@@ -63,6 +64,7 @@
     server_health health;
     shared_load peers;      // what the other instances say
     int knownInstances = 1; // this one included; shares the repeats' budget
+    answer_time streamTime; // of streams that this instance carried
     upstream_pool pool;
     pcg32 random;
     line_budget lines;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -47,6 +47,7 @@
     report.domain = domain_id{message.failure_domain()};
     report.incarnation = message.incarnation();
     report.received = std::chrono::steady_clock::now();
+    report.stopping = milliseconds(message.stopping_ms());
     for (const wire::server_load &entry : message.loads()) {
         const auto failure = static_cast<failure_kind>(std::min<std::uint32_t>(entry.failure(), static_cast<std::uint32_t>(failure_kind::error)));
         report.loads.push_back({entry.address(), static_cast<int>(entry.running()), entry.tokens(), milliseconds(entry.avoid_ms()), failure});
@@ -161,6 +162,7 @@
     message->set_address(m_settings.address);
     message->set_incarnation(m_settings.incarnation);
     toMessage(m_handler.loads(), message);
+    message->set_stopping_ms(static_cast<std::uint32_t>(m_handler.stopping().count()));
     const news_mark own = m_handler.mark();
     message->set_config_version(own.configVersion);
     message->set_fleet_offset(own.fleetOffset);
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -25,6 +25,7 @@
 struct mesh_handler
 {
     std::function<std::vector<server_load>()> loads;               // this instance's own report
+    std::function<milliseconds()> stopping;                        // until this instance ends, 0 = it goes on
     std::function<void(peer_report)> onReport;                     // a peer's report
     std::function<news_mark()> mark;                               // of this instance
     std::function<std::string(const news_mark &since)> exportNews; // what a peer with that mark lacks
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -1,5 +1,6 @@
 // Decision modules of the gateway, with time passed in.
 
+#include "core/answer_time.h"
 #include "core/event_splitter.h"
 #include "core/giver_lease.h"
 #include "core/layer_path.h"
@@ -522,6 +523,35 @@
     CHECK(loads.livePeers(NOW) == 2);
 }
 
+TEST_CASE("instances that stop one after the other know who goes on and who is back first", "[unit]")
+{
+    shared_load peers;
+    peers.take({instance_id{"x"}, domain_id{"a"}, 1, {}, NOW, milliseconds(0)});
+    peers.take({instance_id{"y"}, domain_id{"a"}, 1, {}, NOW, milliseconds(5000)});
+    peers.take({instance_id{"z"}, domain_id{"b"}, 1, {}, NOW, milliseconds(3000)});
+    const peer_readiness now = peers.readiness(NOW + milliseconds(500));
+    CHECK(now.ready == 1);
+    CHECK(now.stopping == 2);
+    CHECK(now.firstEnd == milliseconds(2500));
+    const peer_readiness later = peers.readiness(NOW + milliseconds(4000));
+    CHECK(later.ready == 0); // a silent instance takes nothing
+    CHECK(later.stopping == 1);
+}
+
+TEST_CASE("the time of a stream is learnt with its spread", "[unit]")
+{
+    answer_time learnt;
+    const milliseconds before = learnt.longest(180);
+    for (int i = 0; i < 200; ++i) {
+        learnt.note(milliseconds(60), milliseconds(i % 2 == 0 ? 1600 : 2400), 81);
+    }
+    const milliseconds after = learnt.longest(180);
+    CHECK(after < before);
+    CHECK(after >= milliseconds(60 + 180 * 30)); // no shorter than the slower half takes
+    learnt.note(milliseconds(60), milliseconds(0), 1);
+    CHECK(learnt.longest(180) == after); // a single event says nothing about the pace
+}
+
 TEST_CASE("a report of an earlier start of a peer does not replace a newer one", "[unit]")
 {
     shared_load loads;
--- a/tests/gateway_path_test.cpp
+++ b/tests/gateway_path_test.cpp
@@ -619,6 +619,60 @@
     CHECK(std::count_if(seen.begin(), seen.end(), [](const raw_request &one) { return one.target().starts_with("/stream/"); }) == 1);
 }
 
+TEST_CASE("a silent stream that nothing can replace is waited for", "[failure]")
+{
+    std::atomic<int> reports = 0;
+    std::atomic<int> runs = 0;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            ++reports;
+            out.waitForClose(2000); // no answer
+            return false;
+        }
+        ++runs;
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return reports >= 2; });
+        out.write(events(2, 3) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.start();
+    const std::string got = exchange(site.front(), call("/stream/", "id1"));
+    CHECK(countOf(got, "piece3") == 1);
+    CHECK(got.ends_with("0\r\n\r\n"));
+    CHECK(runs == 1);
+}
+
+TEST_CASE("SIGHUP cuts no stream and refuses no request", "[failure]")
+{
+    std::atomic<bool> go = false;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        if (in.target().starts_with("/safe/")) {
+            out.write(answer(in, "x"));
+            return true;
+        }
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return go.load(); });
+        out.write(events(2, 3) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.addServer("i-2", "app", server.address());
+    site.start();
+    raw_client client(site.front());
+    client.write(call("/stream/", "id1"));
+    client.readUntil("piece1");
+    for (int times = 0; times < 3; ++times) {
+        site.gateways[0]->signal(SIGHUP);
+        CHECK(statusOf(exchange(site.front(), call("/safe/", "id" + std::to_string(2 + times)))) == 200);
+    }
+    CHECK(site.readyStatus() == 200);
+    go = true;
+    CHECK(client.readUntil("0\r\n\r\n", 7000).find("piece3") != std::string::npos);
+}
+
 TEST_CASE("a path that a stage refuses is replaced by one without that stage", "[failure]")
 {
     std::string faulty;
