Relays of each failure domain exchange loads and news; the store is read by whoever nobody vouches for

Ruled out: longer rounds alone (a pair already exchanged once a second, too seldom to share room). Gossip of single reports: the same bytes. Change: core/mesh_roles chooses three relays a failure domain by rendezvous hashing; relays exchange the sums of their members, members get the total without their own part. States carry the age of the newest confirmation by the store; an instance reads the store only when nobody's is young enough (1 s and 0.25 s more by rank), and reads the lease log only when nobody has heard of the giver for 0.7 s. News covers the list of instances too. No exchange is served before what it leads to is ready.

--- a/src/core/shared_load.cpp
+++ b/src/core/shared_load.cpp
@@ -24,6 +24,9 @@
     if (known.report.incarnation > report.incarnation) {
         return;
     }
+    if (report.scope == load_scope::total) {
+        std::erase_if(m_reports, [&](const auto &entry) { return entry.first != report.instance; });
+    }
     known.byAddress.clear();
     for (const server_load &load : report.loads) {
         known.byAddress[load.address] = load;
@@ -68,29 +71,85 @@
     return found;
 }
 
+namespace
+{
+
+// Adds a report's loads, by address; the longest pause counts.
+void addLoads(std::map<std::string, server_load> &sum, const std::vector<server_load> &loads)
+{
+    for (const server_load &load : loads) {
+        server_load &entry = sum.try_emplace(load.address, server_load{load.address, 0, 0, milliseconds(0), load.failure}).first->second;
+        entry.running += load.running;
+        entry.tokens += load.tokens;
+        if (load.avoid > entry.avoid) {
+            entry.avoid = load.avoid;
+            entry.failure = load.failure;
+        }
+    }
+}
+
+// Time until the first instance that a report covers has ended; nothing if all go on or have ended.
+std::optional<milliseconds> timeToEnd(const peer_report &report, steady_time now)
+{
+    if (report.stopping.count() == 0) {
+        return std::nullopt;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(report.received + report.stopping - now);
+    return left.count() > 0 ? std::optional(left) : std::nullopt;
+}
+
+}
+
+peer_report shared_load::merged(const peer_report &own, load_scope scope, const instance_id &receiver, steady_time now) const
+{
+    peer_report result = own;
+    result.scope = scope;
+    if (scope == load_scope::member) {
+        return result;
+    }
+    std::map<std::string, server_load> sum;
+    addLoads(sum, own.loads);
+    for (const auto &[instance, known] : m_reports) {
+        const bool covered = scope == load_scope::total || known.report.scope == load_scope::member;
+        if (instance == receiver || !covered || !isFresh(known.report, now)) {
+            continue;
+        }
+        addLoads(sum, known.report.loads);
+        result.instances += known.report.instances;
+        result.stoppingCount += known.report.stoppingCount;
+        if (const auto left = timeToEnd(known.report, now)) {
+            result.stopping = result.stopping.count() > 0 ? std::min(result.stopping, *left) : *left;
+        }
+    }
+    result.loads.clear();
+    for (auto &[address, load] : sum) {
+        result.loads.push_back(std::move(load));
+    }
+    return result;
+}
+
 peer_readiness shared_load::readiness(steady_time now) const
 {
     peer_readiness result;
     for (const auto &[instance, known] : m_reports) {
         const peer_report &report = known.report;
-        if (report.stopping.count() == 0) {
-            result.ready += isFresh(report, now) ? 1 : 0;
-            continue;
-        }
-        const auto left = std::chrono::ceil<milliseconds>(report.received + report.stopping - now);
-        if (left.count() <= 0) {
-            continue; // it has ended
+        const auto left = timeToEnd(report, now);
+        result.ready += isFresh(report, now) ? report.instances - report.stoppingCount : 0;
+        result.stopping += left ? report.stoppingCount : 0;
+        if (left) {
+            result.firstEnd = std::min(result.firstEnd.value_or(*left), *left);
         }
-        ++result.stopping;
-        result.firstEnd = std::min(result.firstEnd.value_or(left), left);
     }
     return result;
 }
 
 int shared_load::livePeers(steady_time now) const
 {
-    const auto fresh = [now](const auto &entry) { return isFresh(entry.second.report, now); };
-    return static_cast<int>(std::count_if(m_reports.begin(), m_reports.end(), fresh));
+    int sum = 0;
+    for (const auto &[instance, known] : m_reports) {
+        sum += isFresh(known.report, now) ? known.report.instances : 0;
+    }
+    return sum;
 }
 
 }
--- a/src/core/shared_load.h
+++ b/src/core/shared_load.h
@@ -24,6 +24,14 @@
     failure_kind failure = failure_kind::broken; // why
 };
 
+// What a report's loads cover.
+enum class load_scope
+{
+    cluster, // a relay and the members that report to it
+    member,  // one instance, which is no relay and asks for a total
+    total,   // all instances but the receiver
+};
+
 struct peer_report
 {
     instance_id instance;
@@ -31,7 +39,10 @@
     std::uint64_t incarnation = 0;
     std::vector<server_load> loads;
     steady_time received{};
-    milliseconds stopping{0}; // the peer ends within so long, 0 = it goes on
+    milliseconds stopping{0}; // the peer, or the first of those covered, ends within so long; 0 = it goes on
+    load_scope scope = load_scope::cluster;
+    int instances = 1;     // covered
+    int stoppingCount = 0; // of those, that are about to end
 };
 
 // Which instances take requests, as far as the peers' reports tell.
@@ -45,7 +56,10 @@
 class shared_load
 {
 public:
+    // A total replaces all other reports: it covers them.
     void take(peer_report report);
+    // What to tell a relay, or a member (the total without that member's own part), beside the own report.
+    peer_report merged(const peer_report &own, load_scope scope, const instance_id &receiver, steady_time now) const;
     // Work of the peers at a server.
     double tokens(const std::string &address, steady_time now) const;
     int running(const std::string &address, steady_time now) const;
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -12,8 +12,10 @@
 namespace
 {
 
-constexpr milliseconds LEASE_WAIT{4000}; // long poll of the lease log
-constexpr milliseconds LEASE_RETRY{500}; // pause after a failed read
+constexpr milliseconds GIVER_TRUST{700}; // a giver that was heard of within that time is alive
+constexpr milliseconds LONGEST_GIVER_AGE{60'000};
+constexpr milliseconds LEASE_INTERVAL{250}; // between two reads of the lease log
+constexpr milliseconds LEASE_RETRY{500};    // pause after a failed read
 constexpr milliseconds TICK{250};
 constexpr milliseconds ORDER_LIFE{15'000};   // a late order has been carried out by then
 constexpr milliseconds LOST_AFTER{700};      // unreachable for so long: its layers are covered by others
@@ -69,24 +71,43 @@
 // Lease
 //-----------------------------------------------------------------------------
 
+milliseconds control_plane::giverAge(steady_time now) const
+{
+    if (m_lease.holds(now)) {
+        return milliseconds(0);
+    }
+    return m_giverSeen == steady_time() ? LONGEST_GIVER_AGE : std::min(LONGEST_GIVER_AGE, std::chrono::ceil<milliseconds>(now - m_giverSeen));
+}
+
+void control_plane::noteGiver(milliseconds age, steady_time now)
+{
+    m_giverSeen = std::max(m_giverSeen, now - age);
+}
+
+// The lease log is read only while nobody vouches for the giver.
 void control_plane::pollLease()
 {
-    // The first read does not wait, since an empty log would keep it waiting.
-    const bool first = m_leaseNext == 0 && m_lease.holder().empty();
-    m_port.readLease(m_leaseNext, first ? milliseconds(0) : LEASE_WAIT, [this](const lease_read &read) {
-        if (!read.ok) {
-            m_loop.after(LEASE_RETRY, [this] { pollLease(); });
-            return;
-        }
-        std::optional<std::string> newest;
-        if (!read.entries.empty()) {
-            newest = read.entries.back().holder;
-            m_leaseNext = read.entries.back().offset + 1;
-        }
-        if (read.end == m_leaseNext) {
-            m_lease.noteRead(read.end, newest, std::chrono::steady_clock::now());
+    if (giverAge(std::chrono::steady_clock::now()) < GIVER_TRUST) {
+        m_loop.after(LEASE_INTERVAL, [this] { pollLease(); });
+        return;
+    }
+    readLease();
+}
+
+void control_plane::readLease()
+{
+    m_port.readLease(m_leaseNext, milliseconds(0), [this](const lease_read &read) {
+        if (read.ok) {
+            std::optional<std::string> newest;
+            if (!read.entries.empty()) {
+                newest = read.entries.back().holder;
+                m_leaseNext = read.entries.back().offset + 1;
+            }
+            if (read.end == m_leaseNext) {
+                m_lease.noteRead(read.end, newest, std::chrono::steady_clock::now());
+            }
         }
-        m_loop.after(milliseconds(read.end == 0 ? LEASE_RETRY : milliseconds(20)), [this] { pollLease(); });
+        m_loop.after(read.ok ? LEASE_INTERVAL : LEASE_RETRY, [this] { pollLease(); });
     });
 }
 
@@ -96,6 +117,9 @@
     if (!m_lease.shouldAppend(now)) {
         return;
     }
+    if (!m_lease.holds(now) && giverAge(now) < GIVER_TRUST) {
+        return; // the log has not been read for a while, but the giver lives
+    }
     m_lease.noteSent(now);
     m_port.appendLease(m_lease.end(), m_lease.self(), [this](append_outcome outcome) {
         if (outcome == append_outcome::unknown) {
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -23,6 +23,10 @@
     control_plane(event_loop &loop, platform_port &port, metrics &counters, const gateway_settings &settings, control_handler handler);
     // Begins to follow the platform. Any thread.
     void start();
+    // Since the giver of orders was last known to hold its lease, by its own word or a peer's. Control thread only.
+    milliseconds giverAge(steady_time now) const;
+    // A peer knows the giver to have held its lease so long ago. Control thread only.
+    void noteGiver(milliseconds age, steady_time now);
     // Addresses that cannot be reached, with the time since when. Control thread only.
     void noteFaults(std::map<std::string, steady_time> faultySince);
 
@@ -35,6 +39,7 @@
     };
 
     void pollLease();
+    void readLease();
     void tryAppend();
     void tick();
     void giveOrders(const service_profile &service, steady_time now);
@@ -53,6 +58,7 @@
     giver_lease m_lease;
     std::uint64_t m_leaseNext = 0; // next offset of the lease log to read
     bool m_wasGiver = false;
+    steady_time m_giverSeen{}; // when the giver was last known to hold its lease
     std::shared_ptr<const gateway_config> m_config;
     std::shared_ptr<const fleet_snapshot> m_fleet;
     steady_time m_fleetChanged{}; // when the set of servers last changed
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -19,9 +19,12 @@
 using namespace chestnut;
 
 constexpr milliseconds DRAIN_STEP{50};
-constexpr milliseconds IDLE_CLOSE{2300}; // the balancer has missed two checks by then
-constexpr milliseconds LOAD_REPORT{80};  // interval at which the own load is handed to the mesh
-constexpr seconds DROP_REPORT{5};        // interval of the line that tells how many lines were dropped
+constexpr milliseconds IDLE_CLOSE{2300};  // the balancer has missed two checks by then
+constexpr milliseconds FIRST_TRUST{1000}; // age at which the second instance reads the store in place of the first
+constexpr milliseconds TRUST_STEP{250};   // more for each further instance
+constexpr int MOST_TRUST_STEPS = 3;
+constexpr milliseconds LOAD_REPORT{80}; // interval at which the own load is handed to the mesh
+constexpr seconds DROP_REPORT{5};       // interval of the line that tells how many lines were dropped
 
 using platform_plugins = plugin_registry<platform_port, event_loop &, const std::string &, metrics &>;
 
@@ -143,6 +146,18 @@
     mesh_handler handler;
     handler.loads = [this] { return m_ownLoads; };
     handler.stopping = [this] { return m_ownStopping; };
+    handler.onRank = [this](int rank) { m_port->setTrust(rank == 0 ? milliseconds(0) : FIRST_TRUST + TRUST_STEP * std::min(rank - 1, MOST_TRUST_STEPS)); };
+    handler.ages = [this] {
+        const steady_time now = std::chrono::steady_clock::now();
+        news_ages ages = m_port->ages(now);
+        ages.giver = m_plane.giverAge(now);
+        return ages;
+    };
+    handler.onAges = [this](const news_ages &ages) {
+        const steady_time now = std::chrono::steady_clock::now();
+        m_port->confirm(ages, now);
+        m_plane.noteGiver(ages.giver, now);
+    };
     handler.onReport
         = [this](peer_report report) { asio::post(m_context, [this, report = std::move(report)]() mutable { m_state.takePeerReport(std::move(report)); }); };
     handler.mark = [this] { return m_port->mark(); };
@@ -154,14 +169,15 @@
 void gateway_process::joinMesh()
 {
     m_control.post([this] {
-        m_mesh->start();
-        m_port->announce(m_state.settings.name, m_mesh->address(), [this](const std::string &instance, const std::string &address) {
-            m_mesh->addPeer(instance, address);
-            asio::post(m_context, [this, instance] {
+        const member_entry self{m_state.settings.name, m_state.settings.failureDomain, m_mesh->address()};
+        m_port->announce(self, [this](const member_entry &member) {
+            m_mesh->addPeer(member);
+            asio::post(m_context, [this, instance = member.instance] {
                 m_members.insert(instance);
                 m_state.knownInstances = static_cast<int>(m_members.size());
             });
         });
+        m_mesh->start();
     });
 }
 
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -96,13 +96,17 @@
     // Begins to follow configuration and servers.
     virtual void follow(platform_handler handler) = 0;
 
-    // Makes this instance known to the others and tells of those that are or were known; repeats until the store has answered.
-    virtual void announce(const std::string &instance, const std::string &peerAddress,
-                          std::function<void(const std::string &instance, const std::string &address)> onMember)
-        = 0;
+    // Makes this instance known to the others and tells of those that are or were known.
+    virtual void announce(const member_entry &self, std::function<void(const member_entry &)> onMember) = 0;
 
     // How far configuration and servers are known here, and exchange of what one instance knows and another does not.
     virtual news_mark mark() const = 0;
+    // Ages of what is known of configuration and servers; the giver's age is not the platform's matter and stays 0.
+    virtual news_ages ages(steady_time now) const = 0;
+    // Another instance, whose news has been imported, had confirmations of these ages.
+    virtual void confirm(const news_ages &ages, steady_time now) = 0;
+    // Confirmations that are younger spare reads of the store; 0 = reads all the same.
+    virtual void setTrust(milliseconds trust) = 0;
     virtual std::string exportNews(const news_mark &since) const = 0;
     virtual void importNews(const std::string &news) = 0;
 
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Exchange of states between gateway processes over gRPC: every pair of instances exchanges at a steady pace. Instances
-// find each other in the platform's store and through calls that they receive.
+// Exchange of states between gateway processes over gRPC, along the links of core/mesh_roles.h. Instances find each other
+// in the platform's store and through calls that they receive.
 
 #include "core/shared_load.h"
 #include "kernel/event_loop.h"
@@ -19,6 +19,23 @@
 {
     std::uint64_t configVersion = 0;
     std::uint64_t fleetOffset = 0;
+    std::uint64_t memberOffset = 0;
+};
+
+// How old the newest confirmations are, whoever got them.
+struct news_ages
+{
+    milliseconds config{0}; // configuration, from the store
+    milliseconds fleet{0};  // servers, from the store
+    milliseconds giver{0};  // the giver of orders held its lease
+};
+
+// An instance as it announced itself.
+struct member_entry
+{
+    std::string instance;
+    std::string domain;
+    std::string address; // IP:port of the peer service
 };
 
 // Called on the node's loop.
@@ -27,7 +44,10 @@
     std::function<std::vector<server_load>()> loads;               // this instance's own report
     std::function<milliseconds()> stopping;                        // until this instance ends, 0 = it goes on
     std::function<void(peer_report)> onReport;                     // a peer's report
+    std::function<void(int rank)> onRank;                          // position among the instances that are not down
     std::function<news_mark()> mark;                               // of this instance
+    std::function<news_ages()> ages;                               // as this instance knows
+    std::function<void(const news_ages &)> onAges;                 // as a peer knows; its news has been imported
     std::function<std::string(const news_mark &since)> exportNews; // what a peer with that mark lacks
     std::function<void(const std::string &news)> importNews;
 };
@@ -54,7 +74,7 @@
     // Starts the rounds. Loop thread only.
     void start();
     // An instance that is known to exist or to have existed. Loop thread only.
-    void addPeer(const std::string &instance, const std::string &address);
+    void addPeer(const member_entry &member);
 
 private:
     class implementation;
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -5,6 +5,7 @@
 #include "core/giver_lease.h"
 #include "core/layer_path.h"
 #include "core/layer_placement.h"
+#include "core/mesh_roles.h"
 #include "core/placement_relief.h"
 #include "core/repeat_budget.h"
 #include "core/shared_load.h"
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <pcg_random.hpp>
+#include <set>
 
 using namespace chestnut;
 
@@ -527,8 +529,8 @@
 {
     shared_load peers;
     peers.take({instance_id{"x"}, domain_id{"a"}, 1, {}, NOW, milliseconds(0)});
-    peers.take({instance_id{"y"}, domain_id{"a"}, 1, {}, NOW, milliseconds(5000)});
-    peers.take({instance_id{"z"}, domain_id{"b"}, 1, {}, NOW, milliseconds(3000)});
+    peers.take({instance_id{"y"}, domain_id{"a"}, 1, {}, NOW, milliseconds(5000), load_scope::cluster, 1, 1});
+    peers.take({instance_id{"z"}, domain_id{"b"}, 1, {}, NOW, milliseconds(3000), load_scope::cluster, 1, 1});
     const peer_readiness now = peers.readiness(NOW + milliseconds(500));
     CHECK(now.ready == 1);
     CHECK(now.stopping == 2);
@@ -602,3 +604,118 @@
     CHECK(pickService(config.routes[0], 0.0).text == "s");
     CHECK(pickService(config.routes[0], 0.95).text == "t");
 }
+
+//-----------------------------------------------------------------------------
+// Links between instances
+//-----------------------------------------------------------------------------
+
+namespace
+{
+
+std::vector<mesh_member> makeMembers(int domains, int each)
+{
+    std::vector<mesh_member> members;
+    for (int domain = 0; domain < domains; ++domain) {
+        for (int i = 0; i < each; ++i) {
+            members.push_back({"d" + std::to_string(domain) + "-" + std::to_string(i), "d" + std::to_string(domain)});
+        }
+    }
+    return members;
+}
+
+// Links of one of them, who finds some others down.
+mesh_links linksOf(std::vector<mesh_member> members, std::size_t self, const std::set<std::string> &down = {})
+{
+    for (mesh_member &member : members) {
+        member.down = down.contains(member.instance);
+    }
+    const mesh_member own = members[self];
+    members.erase(members.begin() + static_cast<std::ptrdiff_t>(self));
+    return chooseLinks(own, members);
+}
+
+}
+
+TEST_CASE("small failure domains are a full mesh", "[unit]")
+{
+    const std::vector<mesh_member> members = makeMembers(3, RELAYS_PER_DOMAIN);
+    for (std::size_t self = 0; self < members.size(); ++self) {
+        const mesh_links links = linksOf(members, self);
+        CHECK(links.relay);
+        CHECK(links.partners.size() == members.size() - 1);
+    }
+}
+
+TEST_CASE("in large failure domains only relays link to other domains, also after relays failed", "[unit]")
+{
+    const std::vector<mesh_member> members = makeMembers(3, 24);
+    std::set<std::string> relays;
+    std::set<int> ranks;
+    for (std::size_t self = 0; self < members.size(); ++self) {
+        const mesh_links links = linksOf(members, self);
+        ranks.insert(links.rank);
+        if (links.relay) {
+            relays.insert(members[self].instance);
+            CHECK(links.partners.size() == 3 * RELAYS_PER_DOMAIN - 1);
+        } else {
+            REQUIRE(links.partners.size() == 1);
+        }
+    }
+    CHECK(relays.size() == 3 * RELAYS_PER_DOMAIN);
+    CHECK(ranks.size() == members.size()); // all agree on the order
+    std::set<std::string> successors;
+    for (std::size_t self = 0; self < members.size(); ++self) {
+        if (relays.contains(members[self].instance)) {
+            continue;
+        }
+        const mesh_links links = linksOf(members, self, relays);
+        CHECK_FALSE(relays.contains(links.partners.front()));
+        if (links.relay) {
+            successors.insert(members[self].instance);
+        } else {
+            CHECK(links.partners.front().starts_with(members[self].domain));
+        }
+    }
+    CHECK(successors.size() == 3 * RELAYS_PER_DOMAIN);
+}
+
+TEST_CASE("relays sum their members, and a member gets the total without its own part", "[unit]")
+{
+    const auto report = [](const std::string &name, load_scope scope, double tokens, milliseconds avoid = milliseconds(0)) {
+        peer_report one;
+        one.instance = instance_id{name};
+        one.incarnation = 1;
+        one.loads = {{"s:1", 1, tokens, avoid, failure_kind::silent}};
+        one.received = NOW;
+        one.scope = scope;
+        return one;
+    };
+    shared_load relay;
+    relay.take(report("m1", load_scope::member, 10));
+    relay.take(report("m2", load_scope::member, 20, milliseconds(500)));
+    peer_report other = report("r2", load_scope::cluster, 400);
+    other.instances = 5;
+    relay.take(other);
+    const peer_report own = report("r1", load_scope::cluster, 3);
+
+    const peer_report cluster = relay.merged(own, load_scope::cluster, instance_id{"r2"}, NOW);
+    REQUIRE(cluster.loads.size() == 1);
+    CHECK(cluster.loads[0].tokens == 33);
+    CHECK(cluster.loads[0].avoid == milliseconds(500));
+    CHECK(cluster.instances == 3);
+
+    const peer_report total = relay.merged(own, load_scope::total, instance_id{"m1"}, NOW);
+    CHECK(total.loads[0].tokens == 423);
+    CHECK(total.loads[0].running == 3);
+    CHECK(total.instances == 7);
+
+    // A member that changed its relay counts nobody twice.
+    shared_load member;
+    peer_report former = total;
+    former.instance = instance_id{"r3"};
+    member.take(former);
+    member.take(total);
+    CHECK(member.tokens("s:1", NOW) == 423);
+    CHECK(member.livePeers(NOW) == 7);
+    CHECK(relay.merged(own, load_scope::total, instance_id{"m1"}, NOW + seconds(5)).loads[0].tokens == 3); // old reports count for nothing
+}
