First servers are chosen and placed by their places; requests leave a crowded failure domain only when it is nearly full

Its first layer stood on one server, which takes 192 requests at once, while 66 a second for 3.5 s need some 230 places; others were late behind 8.4 GB of activations at the pipes between failure domains, since a half full stage already cost more than a hop. Ruled out: processor time of the stages (13 in 100 at the slowest kind), own processor time (0.05 cores). Change: paths begin only at servers with a free place; room at the first layer is bounded by the places, for placement and relief; the surcharge of a stage rises with the fourth power of its use; a hop costs part of the time for which its prompt occupies the pipe. One function for the need of room. Tests: 'a path begins only at a server that has a place for it', 'the first layer stands on several servers ...', 'requests stay in their failure domain while it has room ...'.

--- a/src/core/gateway_types.h
+++ b/src/core/gateway_types.h
@@ -68,6 +68,7 @@
     double readPerSecond = 1;   // prompt tokens a second over all layers at factor 1
     int stride = 1;             // token steps in one pass
     double activationBytes = 0; // passed between two stages for each token
+    double pipeMbps = 0;        // between two failure domains, shared by all; 0 = no bound
     double usualPrompt = 0;     // mean prompt tokens
     double usualAnswer = 0;     // mean answer tokens
     std::map<std::string, accelerator_kind> kinds;
--- a/src/core/layer_path.cpp
+++ b/src/core/layer_path.cpp
@@ -1,6 +1,7 @@
 #include "core/layer_path.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <set>
 
@@ -12,6 +13,7 @@
 
 constexpr double INFINITE = std::numeric_limits<double>::infinity();
 constexpr double FULL_SURCHARGE_MS = 6; // for a stage whose memory is full
+constexpr double FULL_EXPONENT = 4;     // a half full stage still costs little, so that requests stay in their failure domain
 
 struct step
 {
@@ -24,18 +26,25 @@
 // Best known way to each (layer, last candidate).
 using step_table = std::vector<std::vector<step>>;
 
-double stageCost(const stage_candidate &candidate, const path_question &question, int count)
+double fullSurcharge(double used, double room)
 {
-    const double used = candidate.roomTokens > 0 ? std::min(1.0, candidate.usedTokens / candidate.roomTokens) : 1.0;
-    return candidate.msPerLayer * count + question.stageOverheadMs + candidate.surcharge + FULL_SURCHARGE_MS * used * used;
+    const double share = room > 0 ? std::min(1.0, used / room) : 1.0;
+    return FULL_SURCHARGE_MS * std::pow(share, FULL_EXPONENT);
 }
 
-bool usable(const stage_candidate &candidate, const path_question &question)
+double stageCost(const stage_candidate &candidate, const path_question &question, int first, int count)
+{
+    const double asFirst = first == 0 ? fullSurcharge(candidate.running, candidate.slots) : 0;
+    return candidate.msPerLayer * count + question.stageOverheadMs + candidate.surcharge + fullSurcharge(candidate.usedTokens, candidate.roomTokens) + asFirst;
+}
+
+bool usable(const stage_candidate &candidate, const path_question &question, int layer)
 {
     if (candidate.server->held.count() <= 0) {
         return false;
     }
-    return question.ignoreRoom || candidate.usedTokens + question.tokens <= candidate.roomTokens;
+    const bool hasPlace = layer > 0 || candidate.running + 1 <= candidate.slots;
+    return question.ignoreRoom || (hasPlace && candidate.usedTokens + question.tokens <= candidate.roomTokens);
 }
 
 // Layers at which a stage may hand over: where some other server begins, and the end.
@@ -106,7 +115,7 @@
         for (int next = 0; next < count; ++next) {
             const stage_candidate &candidate = candidates[next];
             const layer_range held = candidate.server->held;
-            if (held.first > layer || held.last <= layer || held.last > layers || !usable(candidate, question)) {
+            if (held.first > layer || held.last <= layer || held.last > layers || !usable(candidate, question, layer)) {
                 continue;
             }
             double arrival = INFINITE;
@@ -132,7 +141,7 @@
                 if (!points[end] && end != held.last) {
                     continue;
                 }
-                const double cost = arrival + stageCost(candidate, question, end - layer);
+                const double cost = arrival + stageCost(candidate, question, layer, end - layer);
                 if (cost < best[end][next].cost) {
                     best[end][next] = {cost, layer, next, from};
                     int &leader = cheapest[end][domainOf[next]];
@@ -190,7 +199,7 @@
         if (std::none_of(candidates.begin(), candidates.end(), holds)) {
             return path_obstacle::avoided;
         }
-        const auto hasRoom = [&](const stage_candidate &candidate) { return holds(candidate) && usable(candidate, question); };
+        const auto hasRoom = [&](const stage_candidate &candidate) { return holds(candidate) && usable(candidate, question, layer); };
         return std::any_of(candidates.begin(), candidates.end(), hasRoom) ? path_obstacle::none : path_obstacle::full;
     };
     path_gap worst;
--- a/src/core/layer_path.h
+++ b/src/core/layer_path.h
@@ -2,8 +2,8 @@
 
 // Chooses the chain of backend servers that one generation runs through: every layer once and in order.
 //
-// Load pattern it answers: many short generations at once, where a stage's memory for requests fills before its
-// processor does, and where a hop between failure domains is dear. Dynamic programming over layer positions; the cost is
+// Load pattern it answers: many short generations at once, where a stage's memory for requests, or the places of the first
+// one, fill before its processor does, and where a hop between failure domains is dear. Dynamic programming over layer positions; the cost is
 // the predicted time of one token plus a surcharge that rises as a stage's memory fills.
 
 #include "core/gateway_types.h"
@@ -19,6 +19,8 @@
     double roomTokens = 0; // tokens of requests that fit
     double usedTokens = 0; // estimate of the tokens in use
     double surcharge = 0;  // ms a token, from suspicion or a slow pace
+    double slots = 1e9;    // requests at once that the server may receive as the first one of a path
+    double running = 0;    // estimate of those that it has received
 };
 
 struct path_question
--- a/src/core/layer_placement.cpp
+++ b/src/core/layer_placement.cpp
@@ -24,20 +24,16 @@
     std::vector<double> own;   // in the failure domain
     std::vector<double> total; // anywhere
 
-    void add(const layer_range &range, double tokens, bool sameDomain)
+    void add(const engine_profile &engine, const placed_server &server, const layer_range &range, bool sameDomain)
     {
         for (int layer = range.first; layer < range.last; ++layer) {
+            const double tokens = roomAtLayer(engine, server, range, layer);
             total[layer] += tokens;
             own[layer] += sameDomain ? tokens : 0;
         }
     }
 };
 
-double roomOf(const engine_profile &engine, const placed_server &server, int held)
-{
-    return engine.tokenRoom(engine.kinds.at(server.accelerator), held);
-}
-
 domain_members groupByDomain(const engine_profile &engine, const std::vector<placed_server> &servers)
 {
     domain_members groups;
@@ -49,13 +45,6 @@
     return groups;
 }
 
-// Worth of more room on a layer: falls steeply with the room that exists.
-double need(double own, double total)
-{
-    const double room = own + OTHER_DOMAIN_SHARE * total + NO_ROOM_PENALTY;
-    return 1e9 / (room * room);
-}
-
 layer_range neediestRange(const layer_room &room, int layers, int count)
 {
     layer_range best{0, count};
@@ -63,7 +52,7 @@
     for (int first = 0; first + count <= layers; ++first) {
         double sum = 0;
         for (int layer = first; layer < first + count; ++layer) {
-            sum += need(room.own[layer], room.total[layer]);
+            sum += roomNeed(room.own[layer], room.total[layer]);
         }
         if (sum > bestNeed * (1 + 1e-9)) {
             bestNeed = sum;
@@ -79,6 +68,20 @@
 // Room
 //-----------------------------------------------------------------------------
 
+double roomAtLayer(const engine_profile &engine, const placed_server &server, layer_range range, int layer)
+{
+    const double tokens = engine.tokenRoom(engine.kinds.at(server.accelerator), range.count());
+    const double usual = engine.usualPrompt + engine.usualAnswer;
+    const bool bounded = layer == 0 && server.slots > 0 && usual > 0;
+    return bounded ? std::min(tokens, server.slots * usual) : tokens;
+}
+
+double roomNeed(double ownTokens, double totalTokens)
+{
+    const double room = ownTokens + OTHER_DOMAIN_SHARE * totalTokens + NO_ROOM_PENALTY;
+    return 1e9 / (room * room);
+}
+
 int layersWithRoom(const engine_profile &engine, const accelerator_kind &kind, double roomTokens)
 {
     const double perLayerMb = engine.layerMb + engine.kvBytesPerToken / engine.layers * roomTokens / 1e6;
@@ -119,7 +122,7 @@
         layer_room anywhere{std::vector<double>(engine.layers, 0), total};
         for (const placed_server &server : members) {
             if (!server.lost) {
-                anywhere.add(server.range, roomOf(engine, server, server.range.count()), false);
+                anywhere.add(engine, server, server.range, false);
             }
         }
         total = anywhere.total;
@@ -130,9 +133,8 @@
         layer_room room{std::vector<double>(engine.layers, 0), total};
         for (const placed_server &server : members) {
             if (!server.lost) {
-                const double tokens = roomOf(engine, server, server.range.count());
                 for (int layer = server.range.first; layer < server.range.last; ++layer) {
-                    room.own[layer] += tokens;
+                    room.own[layer] += roomAtLayer(engine, server, server.range, layer);
                 }
             }
         }
@@ -147,7 +149,7 @@
                 continue;
             }
             const layer_range range = neediestRange(room, engine.layers, count);
-            room.add(range, roomOf(engine, server, count), true);
+            room.add(engine, server, range, true);
             plan.push_back({server.id, range});
         }
         total = room.total;
--- a/src/core/layer_placement.h
+++ b/src/core/layer_placement.h
@@ -22,8 +22,15 @@
     layer_range range;     // empty = to be placed
     bool lost = false;     // does not answer: what it holds does not count
     bool changing = false; // an order to it is under way
+    int slots = 0;         // requests at once that it may receive as the first one of a path, 0 = any number
 };
 
+// Room in tokens that a server with that range offers at one of its layers. At the first layer its places bound it too.
+double roomAtLayer(const engine_profile &engine, const placed_server &server, layer_range range, int layer);
+
+// Need for room of a layer: falls steeply with its room in the failure domain, and a little with room elsewhere.
+double roomNeed(double ownTokens, double totalTokens);
+
 struct placement_limits
 {
     double wantedCopies = 1.1;         // copies of the model in one failure domain, before room is added
--- a/src/core/placement_relief.cpp
+++ b/src/core/placement_relief.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-constexpr double OTHER_DOMAIN_SHARE = 0.04; // weight of room elsewhere: it decides between equals
-constexpr double NO_ROOM_PENALTY = 8'000;   // tokens; keeps the need of a layer without room finite
-
 // Room for requests in tokens, by layer.
 class room_table
 {
@@ -30,17 +27,12 @@
         }
     }
 
-    double roomOf(const placed_server &server, int held) const
-    {
-        return m_engine.tokenRoom(m_engine.kinds.at(server.accelerator), held);
-    }
-
     // Adds (sign 1) or takes away (sign -1) what a server offers with that range.
     void add(const placed_server &server, layer_range range, double sign)
     {
-        const double tokens = sign * roomOf(server, range.count());
         std::vector<double> &own = m_own.at(server.domain);
         for (int layer = range.first; layer < range.last; ++layer) {
+            const double tokens = sign * roomAtLayer(m_engine, server, range, layer);
             own[static_cast<std::size_t>(layer)] += tokens;
             m_total[static_cast<std::size_t>(layer)] += tokens;
         }
@@ -80,12 +72,13 @@
     double gain = 0; // fall of the need
 };
 
-// Fall of the need over all layers, running from the first one, if a server offered `tokens` there.
-std::vector<double> runningGain(const room_table &room, const domain_id &domain, int layers, double tokens)
+// Fall of the need over all layers, running from the first one, if a server with so many layers held them.
+std::vector<double> runningGain(const engine_profile &engine, const room_table &room, const placed_server &server, int length)
 {
-    std::vector<double> sum(static_cast<std::size_t>(layers) + 1, 0);
-    for (int layer = 0; layer < layers; ++layer) {
-        const double gain = room.needWith(layer, domain, 0) - room.needWith(layer, domain, tokens);
+    std::vector<double> sum(static_cast<std::size_t>(engine.layers) + 1, 0);
+    for (int layer = 0; layer < engine.layers; ++layer) {
+        const double tokens = roomAtLayer(engine, server, {0, length}, layer);
+        const double gain = room.needWith(layer, server.domain, 0) - room.needWith(layer, server.domain, tokens);
         sum[static_cast<std::size_t>(layer) + 1] = sum[static_cast<std::size_t>(layer)] + gain;
     }
     return sum;
@@ -100,7 +93,7 @@
     std::set<int> all = lengths;
     all.insert(server.range.count());
     for (const int length : all) {
-        const std::vector<double> gain = runningGain(room, server.domain, engine.layers, room.roomOf(server, length));
+        const std::vector<double> gain = runningGain(engine, room, server, length);
         const auto gainOf = [&](int first) { return gain[static_cast<std::size_t>(first + length)] - gain[static_cast<std::size_t>(first)]; };
         if (length == server.range.count()) {
             kept = gainOf(server.range.first);
@@ -119,12 +112,6 @@
 
 }
 
-double roomNeed(double ownTokens, double totalTokens)
-{
-    const double room = ownTokens + OTHER_DOMAIN_SHARE * totalTokens + NO_ROOM_PENALTY;
-    return 1e9 / (room * room);
-}
-
 std::vector<layer_assignment> planRelief(const engine_profile &engine, const std::vector<placed_server> &servers, const relief_limits &limits)
 {
     std::vector<placed_server> known;
--- a/src/core/placement_relief.h
+++ b/src/core/placement_relief.h
@@ -22,7 +22,4 @@
 // Moves of servers that are neither lost nor changing; empty if no move is worth its load.
 std::vector<layer_assignment> planRelief(const engine_profile &engine, const std::vector<placed_server> &servers, const relief_limits &limits);
 
-// Need for room of a layer: falls steeply with its room in the failure domain, and a little with room elsewhere.
-double roomNeed(double ownTokens, double totalTokens);
-
 }
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -27,7 +27,7 @@
     int failures = 0; // in a row
     failure_kind lastFailure = failure_kind::broken;
     steady_time avoidUntil{}; // no new work before
-    int running = 0;          // requests of this instance at the server
+    int running = 0;          // requests that this instance sent to the server, not those that pass through it
     double tokens = 0;        // tokens of this instance's generations that pass through it
     int reportedRunning = -1; // at the whole server, -1 = unknown
     int reportedWaiting = 0;
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -188,7 +188,8 @@
         }
         const auto pending = m_pending.find(id);
         const bool changing = pending != m_pending.end();
-        servers.push_back({id, server.domain, server.accelerator, changing ? pending->second.range : server.held, isLost(server.address, now), changing});
+        servers.push_back(
+            {id, server.domain, server.accelerator, changing ? pending->second.range : server.held, isLost(server.address, now), changing, server.slots});
     }
     std::vector<layer_assignment> plan = planPlacement(*service.engine, servers, {});
     if (plan.empty()) {
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -12,6 +12,14 @@
 constexpr milliseconds REPORT_LIFE{1000}; // a reported load older than that says nothing
 constexpr double PASS_WAIT_MS = 1.2;      // mean wait for a pass under way, for each stage
 constexpr double DOMAIN_HOP_MS = 5.0;     // surcharge of a hop into another failure domain
+constexpr double PIPE_WEIGHT = 0.3;       // of the time for which a prompt keeps others waiting at the pipe, per token
+
+// Time for which a prompt of that size occupies the shared pipe between two failure domains.
+double pipeMs(const engine_profile &engine, double tokens)
+{
+    constexpr double BITS_PER_MS = 1000; // of one Mbit/s
+    return engine.pipeMbps > 0 ? tokens * engine.activationBytes * 8 / (engine.pipeMbps * BITS_PER_MS) : 0;
+}
 
 bool listed(const std::vector<std::string> &addresses, const std::string &address)
 {
@@ -131,6 +139,8 @@
         candidate.msPerLayer = engine.stepMs * kind->second.stepFactor / engine.layers;
         candidate.roomTokens = engine.tokenRoom(kind->second, server.held.count());
         candidate.usedTokens = health.of(server.address).tokens + peers.tokens(server.address, now);
+        candidate.running = health.of(server.address).running + peers.running(server.address, now);
+        candidate.slots = server.slots > 0 ? server.slots : candidate.slots;
         found.push_back(candidate);
     }
     return found;
@@ -143,7 +153,7 @@
     asked.layers = service.engine->layers;
     asked.tokens = tokens;
     asked.stageOverheadMs = PASS_WAIT_MS;
-    asked.domainHopMs = DOMAIN_HOP_MS;
+    asked.domainHopMs = DOMAIN_HOP_MS + PIPE_WEIGHT * pipeMs(*service.engine, tokens);
     asked.ignoreRoom = ignoreRoom;
     return asked;
 }
@@ -219,6 +229,7 @@
     for (const path_stage &stage : m_path) {
         server_state &state = m_health.of(stage.address);
         state.tokens += sign * m_tokens;
+        state.running += &stage == &m_path.front() ? static_cast<int>(sign) : 0;
     }
 }
 
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -332,6 +332,68 @@
     CHECK(findPath(candidates, ask("a"))->front().server.text == "y");
 }
 
+TEST_CASE("a path begins only at a server that has a place for it", "[unit]")
+{
+    const std::vector<listed_server> listed{{server_id{"x"}, service_id{"pool"}, "x:1", domain_id{"a"}, false, 192, "small", {0, 40}},
+                                            {server_id{"y"}, service_id{"pool"}, "y:1", domain_id{"a"}, false, 192, "small", {0, 40}},
+                                            {server_id{"z"}, service_id{"pool"}, "z:1", domain_id{"a"}, false, 192, "small", {40, 80}}};
+    auto candidates = makeCandidates(listed);
+    candidates[0].slots = candidates[0].running = 192;
+    candidates[2].slots = candidates[2].running = 192; // passes requests on all the same
+    CHECK(findPath(candidates, ask("a"))->front().server.text == "y");
+    candidates[1].slots = candidates[1].running = 192;
+    CHECK_FALSE(findPath(candidates, ask("a")));
+}
+
+TEST_CASE("the first layer stands on several servers where its places would run out", "[unit]")
+{
+    engine_profile engine = makeEngine();
+    engine.usualPrompt = 772;
+    engine.usualAnswer = 145;
+    std::vector<placed_server> servers;
+    const auto add = [&](const std::string &kind, int count) {
+        for (int i = 0; i < count; ++i) {
+            servers.push_back({server_id{kind + std::to_string(i)}, domain_id{"a"}, kind, {}, false, false, 192});
+        }
+    };
+    add("large", 2);
+    add("middle", 13);
+    add("small", 22);
+    applyPlan(servers, planPlacement(engine, servers, {}));
+    CHECK(covers(servers, "a"));
+    CHECK(copies(servers, "a").front() * 192 >= 231); // some 66 requests a second for 3.5 s at once
+}
+
+TEST_CASE("requests stay in their failure domain while it has room, then go to another one as a whole", "[unit]")
+{
+    std::vector<listed_server> listed;
+    for (const std::string domain : {"a", "b"}) {
+        for (const layer_range range : {layer_range{0, 40}, layer_range{40, 80}}) {
+            const std::string name = domain + std::to_string(range.first);
+            listed.push_back({server_id{name}, service_id{"pool"}, name, domain_id{domain}, false, 192, "small", range});
+        }
+    }
+    const auto domainsOf = [&](double usedInA) {
+        auto candidates = makeCandidates(listed, 100'000);
+        for (stage_candidate &candidate : candidates) {
+            candidate.usedTokens = candidate.server->domain.text == "a" ? usedInA : 0;
+        }
+        path_question question = ask("a");
+        question.domainHopMs = 6;
+        const auto path = findPath(candidates, question);
+        REQUIRE(path);
+        std::set<std::string> domains;
+        for (const path_stage &stage : *path) {
+            domains.insert(stage.domain.text);
+        }
+        return domains;
+    };
+    CHECK(domainsOf(50'000) == std::set<std::string>{"a"});
+    const std::set<std::string> crowded = domainsOf(95'000);
+    CHECK(crowded.size() == 1);
+    CHECK_FALSE(crowded.contains("a"));
+}
+
 TEST_CASE("no server serves two stages of a path", "[unit]")
 {
     // Cheap middle layers tempt the search to leave the wide server and to come back.
