Servers' restarts under their id, outdated heartbeats, configurations by hint, queues of first servers are left

Tests: 'a request that waits too long in a queue ...', 'heartbeats are ordered ...', 'a restarted server is not avoided ...'.

--- a/src/core/gateway_types.h
+++ b/src/core/gateway_types.h
@@ -126,9 +126,10 @@
     std::string address; // IP:port
     domain_id domain;
     bool draining = false;
-    int slots = 0;           // requests at once
-    std::string accelerator; // kind, empty for a plain service
-    layer_range held;        // empty = no layers
+    int slots = 0;                 // requests at once
+    std::string accelerator;       // kind, empty for a plain service
+    layer_range held;              // empty = no layers
+    std::uint64_t incarnation = 0; // start time of its process in milliseconds, 0 = unknown
     bool operator==(const listed_server &) const = default;
 };
 
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -61,6 +61,12 @@
     state.faultySince = {};
 }
 
+void server_health::noteRestart(const std::string &address)
+{
+    noteSuccess(address);
+    m_servers[address].peerAvoidUntil = {};
+}
+
 bool server_health::avoided(const std::string &address, steady_time now) const
 {
     const auto found = m_servers.find(address);
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -47,6 +47,8 @@
     // Counts a failure and sets the pause.
     void noteFailure(const std::string &address, failure_kind kind, steady_time now);
     void noteSuccess(const std::string &address);
+    // Another process serves at that address now: its predecessor's failures say nothing of it.
+    void noteRestart(const std::string &address);
     // A sign of life of a server, also as a later stage of a path.
     void noteAlive(const std::string &address, steady_time now);
     // Another instance avoids the server; counts unless it has just shown life here.
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -175,7 +175,10 @@
 {
     std::erase_if(m_pending, [&](const auto &entry) {
         const auto server = m_fleet->servers.find(entry.first);
-        return server == m_fleet->servers.end() || server->second.held == entry.second.range || now - entry.second.given > ORDER_LIFE;
+        if (server == m_fleet->servers.end() || server->second.incarnation != entry.second.incarnation) {
+            return true; // it restarted and holds nothing of before
+        }
+        return server->second.held == entry.second.range || now - entry.second.given > ORDER_LIFE;
     });
 }
 
@@ -202,9 +205,10 @@
         plan = planLastingGaps(*service.engine, servers, now);
     }
     for (const layer_assignment &assignment : plan) {
-        m_pending[assignment.server] = {assignment.range, now};
+        const listed_server &server = m_fleet->servers.at(assignment.server);
+        m_pending[server.id] = {assignment.range, now, server.incarnation};
         m_lastOrder = now;
-        order(m_fleet->servers.at(assignment.server), assignment.range);
+        order(server, assignment.range);
     }
 }
 
@@ -265,7 +269,7 @@
                     {{"server", server.id.text},
                      {"range", rangeText(range)},
                      {"reason", report.ok ? "busy, or holds other layers than its entry says" : report.error}});
-            m_pending[server.id] = {range, std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY};
+            m_pending[server.id] = {range, std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY, server.incarnation};
             return;
         }
         if (m_lease.holds(std::chrono::steady_clock::now())) {
@@ -286,7 +290,7 @@
                  {"sequence", std::to_string(sequence)},
                  {"outcome", NAMES[static_cast<int>(outcome)]}});
         if (outcome != order_outcome::begun) {
-            m_pending[server.id] = {range, std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY};
+            m_pending[server.id] = {range, std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY, server.incarnation};
         }
     });
 }
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -36,6 +36,7 @@
     {
         layer_range range;
         steady_time given;
+        std::uint64_t incarnation = 0; // of the server that it was given to
     };
 
     void pollLease();
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -12,18 +12,40 @@
     {"instance.ready", &gateway_settings::readyAddress, 9, 21, "IP:port", "address for readiness checks"},
     {"instance.peer", &gateway_settings::peerAddress, 9, 21, "IP:port", "address for the other instances"},
     {"instance.metrics", &gateway_settings::metricsAddress, 9, 21, "IP:port", "address for metrics"},
-    {"instance.drain_limit", &gateway_settings::drainLimit, 0, 600000, "ms", "longest wait for requests in flight at shutdown"},
+    {"instance.grace", &gateway_settings::graceSeconds, 0, 600, "s", "from SIGTERM until the platform kills the process"},
     {"platform.adapter", &gateway_settings::platformAdapter, 1, 50, "plug-in", "adapter for the platform"},
     {"platform.url", &gateway_settings::platformUrl, 1, 300, "URL", "the platform's store"},
     {"repeats.ratio", &gateway_settings::repeatRatio, 0, 10, "repeats per request", "part of the repeats' budget that follows the traffic"},
     {"repeats.extra", &gateway_settings::repeatExtra, 0, 1e6, "repeats", "part of the budget that is always there, all instances together"},
-    {"repeats.window", &gateway_settings::repeatWindow, 100, 600000, "ms", "window of the budget"},
+    {"repeats.window", &gateway_settings::repeatWindowSeconds, 0.1, 600, "s", "window of the budget"},
     {"repeats.instances", &gateway_settings::expectedInstances, 1, 10000, "instances", "share the extra repeats equally"},
     {"log.format", &gateway_settings::logFormat, 4, 4, "word", "text or json"},
     {"log.level", &gateway_settings::logLevel, 4, 7, "word", "debug, info, warning or error"},
     {"log.lines_per_second", &gateway_settings::logLinesPerSecond, 1, 100000, "lines/s", "further lines of requests are counted, not written"},
 };
 
+namespace
+{
+
+constexpr milliseconds KILL_MARGIN{500}; // the process has ended by itself so long before it is killed
+
+milliseconds toMilliseconds(double seconds)
+{
+    return milliseconds(static_cast<std::int64_t>(seconds * 1000));
+}
+
+}
+
+milliseconds gateway_settings::drainLimit() const
+{
+    return std::max(milliseconds(0), toMilliseconds(graceSeconds) - KILL_MARGIN);
+}
+
+milliseconds gateway_settings::repeatWindow() const
+{
+    return toMilliseconds(repeatWindowSeconds);
+}
+
 void checkSettings(const gateway_settings &settings)
 {
     if (settings.platformUrl.empty()) {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -19,14 +19,18 @@
     std::string metricsAddress = "127.0.0.1:9464"; // IP:port for metrics
     std::string platformAdapter = "log-store";     // plug-in
     std::string platformUrl;                       // URL of the platform's store
-    milliseconds drainLimit{7500};                 // longest wait for requests in flight at shutdown
+    double graceSeconds = 8;                       // from SIGTERM until the platform kills the process
     double repeatRatio = 0.2;                      // repeats allowed for each request
     double repeatExtra = 20;                       // repeats allowed on top in one window, all instances together
-    milliseconds repeatWindow{10000};              // window of the two above
+    double repeatWindowSeconds = 10;               // window of the two above
     int expectedInstances = 7;                     // instances that share the extra repeats
     std::string logFormat = "json";                // text or json
     std::string logLevel = "info";                 // debug, info, warning or error
     int logLinesPerSecond = 150;                   // further lines are counted, not written
+
+    // Longest wait for requests in flight at shutdown.
+    milliseconds drainLimit() const;
+    milliseconds repeatWindow() const;
 };
 
 extern const setting_row<gateway_settings> GATEWAY_SETTINGS[16];
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -26,6 +26,7 @@
 constexpr int MOST_TRIES = 6;               // paths tried for one request
 constexpr int CLIENT_PAUSES = 8;            // a client leaves a stream after so many of the longest good pauses
 constexpr int MOST_REPATHS = 3;             // orders for one lost stage
+constexpr int FIRST_INQUIRIES = 1;          // that find nothing before a request leaves its first server's queue
 constexpr int MOST_SILENCES = 12;           // inquiries in a row that find nothing
 constexpr std::size_t MOST_FAILURE_BYTES = std::size_t(1) << 20;
 
@@ -377,6 +378,9 @@
     const auto stalled = report->stalledRequests.find(m_facts.id);
     const bool named = stalled != report->stalledRequests.end() && !stalled->second.empty();
     if (!named || !usesStage(stalled->second)) { // a report is some hundred ms old and may name a stage that was replaced
+        if (!m_headRead && m_silences >= FIRST_INQUIRIES && leaveQueue()) {
+            co_return false;
+        }
         if (m_silences + 1 >= MOST_SILENCES) {
             co_return mayWaitOn();
         }
@@ -432,15 +436,32 @@
     return std::any_of(m_path.begin(), m_path.end(), [&](const path_stage &stage) { return stage.address == address; });
 }
 
-// A silent run that can neither be mended nor replaced is still worth waiting for: the client decides how long.
-bool generation_flow::mayWaitOn()
+// True if another run may follow this one and has a path.
+bool generation_flow::anotherRunPossible(bool ignoreRoom) const
 {
     const steady_time now = std::chrono::steady_clock::now();
     const int runs = m_outcome.runs + (m_headRead ? 0 : 1);
     const bool allowed = m_facts.matched->resumable && runs < m_facts.matched->maxAttempts && m_state.budgetOf(m_facts.service).left(now) >= 1;
-    const bool elsewhere = allowed && m_state.choosePath(*service(), m_facts.tokens, m_avoided, true, now);
+    return allowed && m_state.choosePath(*service(), m_facts.tokens, m_avoided, ignoreRoom, now);
+}
+
+// A silent run that can neither be mended nor replaced is still worth waiting for: the client decides how long.
+bool generation_flow::mayWaitOn()
+{
     ++m_silences;
-    return !elsewhere;
+    return !anotherRunPossible(true);
+}
+
+// A request that waits in its first server's queue for too long is sent to another first server that has room.
+bool generation_flow::leaveQueue()
+{
+    m_avoided.push_back(m_path.front().address);
+    if (anotherRunPossible(false)) {
+        logLine(log_level::info, "queue_left", {{"request", m_facts.id}, {"address", m_path.front().address}});
+        return true;
+    }
+    m_avoided.pop_back();
+    return false;
 }
 
 // The path in use with other stages in place of the lost one; nothing if the first stage is lost or no others are there.
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -56,7 +56,9 @@
     asio::awaitable<bool> repath(std::string lostAddress);
     void noteNoPath();
     bool usesStage(const std::string &address) const;
+    bool anotherRunPossible(bool ignoreRoom) const;
     bool mayWaitOn();
+    bool leaveQueue();
     std::optional<std::vector<path_stage>> pathAround(const std::string &lostAddress) const;
     asio::awaitable<void> finishFailed(const char *reason);
     bool mayRunAgain() const;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -115,7 +115,7 @@
     handler.onConfig
         = [this](std::shared_ptr<const gateway_config> config) { asio::post(m_context, [this, config = std::move(config)] { m_state.config = config; }); };
     handler.onFleet
-        = [this](std::shared_ptr<const fleet_snapshot> fleet) { asio::post(m_context, [this, fleet = std::move(fleet)] { m_state.fleet = fleet; }); };
+        = [this](std::shared_ptr<const fleet_snapshot> fleet) { asio::post(m_context, [this, fleet = std::move(fleet)] { m_state.takeFleet(fleet); }); };
     return handler;
 }
 
@@ -153,9 +153,9 @@
         ages.giver = m_plane.giverAge(now);
         return ages;
     };
-    handler.onAges = [this](const news_ages &ages) {
+    handler.onAges = [this](const news_ages &ages, const news_mark &mark) {
         const steady_time now = std::chrono::steady_clock::now();
-        m_port->confirm(ages, now);
+        m_port->confirm(ages, mark, now);
         m_plane.noteGiver(ages.giver, now);
     };
     handler.onReport
@@ -221,7 +221,7 @@
         }
         logLine(log_level::info, "stop_asked", {{"signal", std::to_string(signal)}, {"open_requests", std::to_string(m_state.openRequests)}});
         m_drainBegan = std::chrono::steady_clock::now();
-        m_state.drainEnd = m_drainBegan + m_state.settings.drainLimit;
+        m_state.drainEnd = m_drainBegan + m_state.settings.drainLimit();
         m_front.beginDrain();
         drainStep();
     });
@@ -236,7 +236,7 @@
         m_front.closeIdle();
     }
     const bool done = m_idleClosed && m_state.openRequests == 0 && elapsed >= IDLE_CLOSE + DRAIN_STEP * 4;
-    if (done || elapsed >= m_state.settings.drainLimit) {
+    if (done || elapsed >= m_state.settings.drainLimit()) {
         logLine(log_level::info, "stopped", {{"open_requests", std::to_string(m_state.openRequests)}});
         m_context.stop();
         return;
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -59,10 +59,25 @@
 {
 }
 
+void traffic_state::takeFleet(std::shared_ptr<const fleet_snapshot> next)
+{
+    std::map<std::string, std::uint64_t> before; // address -> incarnation
+    for (const auto &[id, server] : fleet ? fleet->servers : decltype(fleet->servers)()) {
+        before[server.address] = server.incarnation;
+    }
+    for (const auto &[id, server] : next->servers) {
+        const auto known = before.find(server.address);
+        if (known == before.end() || known->second < server.incarnation) {
+            health.noteRestart(server.address);
+        }
+    }
+    fleet = std::move(next);
+}
+
 repeat_budget &traffic_state::budgetOf(const service_id &service)
 {
     const double part = settings.repeatExtra / std::max(knownInstances, settings.expectedInstances);
-    repeat_budget &budget = m_budgets.try_emplace(service, repeat_budget_limits{settings.repeatRatio, part, settings.repeatWindow}).first->second;
+    repeat_budget &budget = m_budgets.try_emplace(service, repeat_budget_limits{settings.repeatRatio, part, settings.repeatWindow()}).first->second;
     budget.setExtra(part);
     return budget;
 }
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -77,6 +77,8 @@
     {
         return config && fleet && !draining;
     }
+    // Puts another view of the servers in force.
+    void takeFleet(std::shared_ptr<const fleet_snapshot> next);
     // This instance's report for its peers.
     std::vector<server_load> ownLoads(steady_time now) const;
     void takePeerReport(peer_report report);
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -50,6 +50,11 @@
     }
 }
 
+news_mark toMark(const wire::gateway_state &message)
+{
+    return {message.config_version(), message.fleet_offset(), message.member_offset(), message.wants_config()};
+}
+
 // Brings a number from outside into an enumeration's range.
 template <typename enumeration>
 enumeration clampTo(std::uint32_t value, enumeration last)
@@ -184,8 +189,7 @@
         }
         take(*request);
         const bool member = clampTo(request->scope(), load_scope::total) == load_scope::member;
-        const news_mark mark{request->config_version(), request->fleet_offset(), request->member_offset()};
-        fill(reply, mark, member ? load_scope::total : load_scope::cluster, request->instance());
+        fill(reply, toMark(*request), member ? load_scope::total : load_scope::cluster, request->instance());
         reactor->Finish(grpc::Status::OK);
     });
     return reactor;
@@ -206,11 +210,13 @@
     message->set_config_version(mark.configVersion);
     message->set_fleet_offset(mark.fleetOffset);
     message->set_member_offset(mark.memberOffset);
+    message->set_wants_config(mark.wantsConfig);
     const news_ages ages = m_handler.ages();
     message->set_config_age_ms(static_cast<std::uint32_t>(ages.config.count()));
     message->set_fleet_age_ms(static_cast<std::uint32_t>(ages.fleet.count()));
     message->set_giver_age_ms(static_cast<std::uint32_t>(ages.giver.count()));
-    if (mark.configVersion > since.configVersion || mark.fleetOffset > since.fleetOffset || mark.memberOffset > since.memberOffset) {
+    const bool config = since.wantsConfig && mark.configVersion > since.configVersion;
+    if (config || mark.fleetOffset > since.fleetOffset || mark.memberOffset > since.memberOffset) {
         message->set_news(m_handler.exportNews(since));
     }
 }
@@ -222,7 +228,7 @@
     if (peer == m_peers.end()) {
         return;
     }
-    peer->second.mark = {message.config_version(), message.fleet_offset(), message.member_offset()};
+    peer->second.mark = toMark(message);
     peer->second.lastHeard = std::chrono::steady_clock::now();
     peer->second.downUntil = {};
     peer_report report = toReport(message);
@@ -231,7 +237,8 @@
     if (!message.news().empty()) {
         m_handler.importNews(message.news());
     }
-    m_handler.onAges({milliseconds(message.config_age_ms()), milliseconds(message.fleet_age_ms()), milliseconds(message.giver_age_ms())});
+    const news_ages ages{milliseconds(message.config_age_ms()), milliseconds(message.fleet_age_ms()), milliseconds(message.giver_age_ms())};
+    m_handler.onAges(ages, toMark(message));
 }
 
 //-----------------------------------------------------------------------------
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -20,6 +20,7 @@
     std::uint64_t configVersion = 0;
     std::uint64_t fleetOffset = 0;
     std::uint64_t memberOffset = 0;
+    bool wantsConfig = false; // cannot read the configuration from the platform itself
 };
 
 // How old the newest confirmations are, whoever got them.
@@ -41,14 +42,14 @@
 // Called on the node's loop.
 struct mesh_handler
 {
-    std::function<std::vector<server_load>()> loads;               // this instance's own report
-    std::function<milliseconds()> stopping;                        // until this instance ends, 0 = it goes on
-    std::function<void(peer_report)> onReport;                     // a peer's report
-    std::function<void(int rank)> onRank;                          // position among the instances that are not down
-    std::function<news_mark()> mark;                               // of this instance
-    std::function<news_ages()> ages;                               // as this instance knows
-    std::function<void(const news_ages &)> onAges;                 // as a peer knows; its news has been imported
-    std::function<std::string(const news_mark &since)> exportNews; // what a peer with that mark lacks
+    std::function<std::vector<server_load>()> loads;                  // this instance's own report
+    std::function<milliseconds()> stopping;                           // until this instance ends, 0 = it goes on
+    std::function<void(peer_report)> onReport;                        // a peer's report
+    std::function<void(int rank)> onRank;                             // position among the instances that are not down
+    std::function<news_mark()> mark;                                  // of this instance
+    std::function<news_ages()> ages;                                  // as this instance knows
+    std::function<void(const news_ages &, const news_mark &)> onAges; // as a peer knows; its news has been imported
+    std::function<std::string(const news_mark &since)> exportNews;    // what a peer with that mark lacks
     std::function<void(const std::string &news)> importNews;
 };
 
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -75,6 +75,17 @@
     CHECK(odd->held.count() == 0);
 }
 
+TEST_CASE("heartbeats are ordered by the server's start and then by their number", "[unit]")
+{
+    const heartbeat first = decodeHeartbeat(R"({"born": 1000, "Sequence": 7})");
+    const heartbeat next = decodeHeartbeat(R"({"born": 1000, "Sequence": 8})");
+    const heartbeat restarted = decodeHeartbeat(R"({"born": 2000, "Sequence": 1})");
+    CHECK(first < next);
+    CHECK(next < restarted);
+    CHECK(decodeHeartbeat(R"({"born": "soon", "Sequence": -3})") == heartbeat());
+    CHECK(decodeHeartbeat("cut{") == heartbeat());
+}
+
 TEST_CASE("records and keys survive their encoding, and cut ones are refused", "[unit]")
 {
     const std::vector<std::string> records{"", "a", std::string(70'000, 'x')};
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -648,6 +648,18 @@
 // Routes
 //-----------------------------------------------------------------------------
 
+TEST_CASE("a restarted server is not avoided for its predecessor's failures", "[unit]")
+{
+    server_health health;
+    health.noteFailure("s:1", failure_kind::unreachable, NOW);
+    health.notePeerAvoids("s:1", failure_kind::silent, milliseconds(800), NOW);
+    CHECK(health.avoided("s:1", NOW));
+    CHECK(health.faulty(NOW).contains("s:1"));
+    health.noteRestart("s:1");
+    CHECK_FALSE(health.avoided("s:1", NOW));
+    CHECK(health.faulty(NOW).empty());
+}
+
 TEST_CASE("the longest prefix of the host wins, queries and ports do not count", "[unit]")
 {
     gateway_config config;
--- a/tests/gateway_path_test.cpp
+++ b/tests/gateway_path_test.cpp
@@ -644,6 +644,39 @@
     CHECK(runs == 1);
 }
 
+TEST_CASE("a request that waits too long in a queue goes to another first server", "[failure]")
+{
+    std::atomic<int> served = 0;
+    const auto script = [&](bool queues) {
+        return [&served, queues](raw_connection &out, const raw_request &in) {
+            if (in.target() == "/report") {
+                out.write(report(in));
+                return true;
+            }
+            if (queues && served == 0) {
+                out.waitForClose(3000); // in the queue until the caller leaves
+                return false;
+            }
+            ++served;
+            out.write(streamHead(in) + events(0, 3) + "0\r\n\r\n");
+            return true;
+        };
+    };
+    scripted_server one(script(true));
+    scripted_server two(script(false));
+    deployment site;
+    site.addServer("i-1", "lm", one.address(), 0, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(call("/stream/", "id1"));
+    REQUIRE(eventually([&] { return one.count() >= 1; }));
+    site.addServer("i-2", "lm", two.address(), 0, 4);
+    const steady_time start = std::chrono::steady_clock::now();
+    CHECK(client.readUntil("0\r\n\r\n", 5000).find("piece3") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - start < milliseconds(1900)); // clients leave after 2 s without an event
+    CHECK(served == 1);
+}
+
 TEST_CASE("SIGHUP cuts no stream and refuses no request", "[failure]")
 {
     std::atomic<bool> go = false;
