--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -281,14 +281,13 @@
 void control_plane::sendOrder(const listed_server &server, layer_range range, std::uint64_t sequence)
 {
     m_port.orderLayers(server.address, server.id, range, sequence, [this, server, range, sequence](order_outcome outcome) {
-        static constexpr const char *NAMES[] = {"begun", "mismatch", "refused", "unreachable", "unknown"};
         logLine(log_level::info, "order",
                 {{"server", server.id.text},
                  {"kind", server.accelerator},
                  {"domain", server.domain.text},
                  {"range", rangeText(range)},
                  {"sequence", std::to_string(sequence)},
-                 {"outcome", NAMES[static_cast<int>(outcome)]}});
+                 {"outcome", toText(outcome)}});
         if (outcome != order_outcome::begun) {
             m_pending[server.id] = {range, std::chrono::steady_clock::now() - ORDER_LIFE + ORDER_RETRY, server.incarnation};
         }
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -77,6 +77,12 @@
     unknown,     // no answer: may be carried out later
 };
 
+inline const char *toText(order_outcome outcome)
+{
+    constexpr const char *NAMES[] = {"begun", "mismatch", "refused", "unreachable", "unknown"};
+    return NAMES[static_cast<int>(outcome)];
+}
+
 struct platform_handler
 {
     std::function<void(std::shared_ptr<const gateway_config>)> onConfig;
