Renewals that are heard of count like read ones; the surcharge of full stages is a square again

The fourth power let requests crowd in their failure domain also where pipes are wide. Change: states carry the end of the lease log and its holder (giver_lease::noteHeard); the exponent is 2 again, the pipe's weight keeps requests at home where pipes are narrow. Test: 'an instance that only hears of renewals ...'.

--- a/src/core/giver_lease.cpp
+++ b/src/core/giver_lease.cpp
@@ -45,6 +45,13 @@
     }
 }
 
+void giver_lease::noteHeard(std::uint64_t end, const std::string &holder, steady_time now)
+{
+    if (end > m_end && !holder.empty()) {
+        noteRead(end, holder, now);
+    }
+}
+
 bool giver_lease::shouldAppend(steady_time now) const
 {
     if (!m_known || (m_sent && now - *m_sent < m_terms.renewal)) {
--- a/src/core/giver_lease.h
+++ b/src/core/giver_lease.h
@@ -39,6 +39,8 @@
     }
     // The log was read up to `end`; `newest` is its last entry if one was read this time.
     void noteRead(std::uint64_t end, const std::optional<std::string> &newest, steady_time now);
+    // Another instance knows the log to end at `end` with that holder's entry. Counts like a read of it.
+    void noteHeard(std::uint64_t end, const std::string &holder, steady_time now);
     // True if an append at end() should be sent now; noteSent() must follow.
     bool shouldAppend(steady_time now) const;
     void noteSent(steady_time now);
--- a/src/core/layer_path.cpp
+++ b/src/core/layer_path.cpp
@@ -1,7 +1,6 @@
 #include "core/layer_path.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <set>
 
@@ -13,7 +12,6 @@
 
 constexpr double INFINITE = std::numeric_limits<double>::infinity();
 constexpr double FULL_SURCHARGE_MS = 6; // for a stage whose memory is full
-constexpr double FULL_EXPONENT = 4;     // a half full stage still costs little, so that requests stay in their failure domain
 
 struct step
 {
@@ -29,7 +27,7 @@
 double fullSurcharge(double used, double room)
 {
     const double share = room > 0 ? std::min(1.0, used / room) : 1.0;
-    return FULL_SURCHARGE_MS * std::pow(share, FULL_EXPONENT);
+    return FULL_SURCHARGE_MS * share * share;
 }
 
 double stageCost(const stage_candidate &candidate, const path_question &question, int first, int count)
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -79,9 +79,10 @@
     return m_giverSeen == steady_time() ? LONGEST_GIVER_AGE : std::min(LONGEST_GIVER_AGE, std::chrono::ceil<milliseconds>(now - m_giverSeen));
 }
 
-void control_plane::noteGiver(milliseconds age, steady_time now)
+void control_plane::noteGiver(const news_ages &ages, steady_time now)
 {
-    m_giverSeen = std::max(m_giverSeen, now - age);
+    m_giverSeen = std::max(m_giverSeen, now - ages.giver);
+    m_lease.noteHeard(ages.leaseEnd, ages.leaseHolder, now);
 }
 
 // The lease log is read only while nobody vouches for the giver.
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -25,8 +25,13 @@
     void start();
     // Since the giver of orders was last known to hold its lease, by its own word or a peer's. Control thread only.
     milliseconds giverAge(steady_time now) const;
-    // A peer knows the giver to have held its lease so long ago. Control thread only.
-    void noteGiver(milliseconds age, steady_time now);
+    // The lease log as this instance knows it. Control thread only.
+    const giver_lease &lease() const
+    {
+        return m_lease;
+    }
+    // What a peer knows of the giver. Control thread only.
+    void noteGiver(const news_ages &ages, steady_time now);
     // Addresses that cannot be reached, with the time since when. Control thread only.
     void noteFaults(std::map<std::string, steady_time> faultySince);
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -151,12 +151,14 @@
         const steady_time now = std::chrono::steady_clock::now();
         news_ages ages = m_port->ages(now);
         ages.giver = m_plane.giverAge(now);
+        ages.leaseEnd = m_plane.lease().end();
+        ages.leaseHolder = m_plane.lease().holder();
         return ages;
     };
     handler.onAges = [this](const news_ages &ages, const news_mark &mark) {
         const steady_time now = std::chrono::steady_clock::now();
         m_port->confirm(ages, mark, now);
-        m_plane.noteGiver(ages.giver, now);
+        m_plane.noteGiver(ages, now);
     };
     handler.onReport
         = [this](peer_report report) { asio::post(m_context, [this, report = std::move(report)]() mutable { m_state.takePeerReport(std::move(report)); }); };
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -215,6 +215,8 @@
     message->set_config_age_ms(static_cast<std::uint32_t>(ages.config.count()));
     message->set_fleet_age_ms(static_cast<std::uint32_t>(ages.fleet.count()));
     message->set_giver_age_ms(static_cast<std::uint32_t>(ages.giver.count()));
+    message->set_lease_end(ages.leaseEnd);
+    message->set_lease_holder(ages.leaseHolder);
     const bool config = since.wantsConfig && mark.configVersion > since.configVersion;
     if (config || mark.fleetOffset > since.fleetOffset || mark.memberOffset > since.memberOffset) {
         message->set_news(m_handler.exportNews(since));
@@ -237,7 +239,8 @@
     if (!message.news().empty()) {
         m_handler.importNews(message.news());
     }
-    const news_ages ages{milliseconds(message.config_age_ms()), milliseconds(message.fleet_age_ms()), milliseconds(message.giver_age_ms())};
+    const news_ages ages{milliseconds(message.config_age_ms()), milliseconds(message.fleet_age_ms()), milliseconds(message.giver_age_ms()), message.lease_end(),
+                         message.lease_holder()};
     m_handler.onAges(ages, toMark(message));
 }
 
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -26,9 +26,11 @@
 // How old the newest confirmations are, whoever got them.
 struct news_ages
 {
-    milliseconds config{0}; // configuration, from the store
-    milliseconds fleet{0};  // servers, from the store
-    milliseconds giver{0};  // the giver of orders held its lease
+    milliseconds config{0};     // configuration, from the store
+    milliseconds fleet{0};      // servers, from the store
+    milliseconds giver{0};      // the giver of orders held its lease
+    std::uint64_t leaseEnd = 0; // the lease log is known to end there
+    std::string leaseHolder;    // with this holder's entry
 };
 
 // An instance as it announced itself.
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -540,6 +540,19 @@
     }
 }
 
+TEST_CASE("an instance that only hears of renewals takes over as soon as one that reads them", "[unit]")
+{
+    giver_lease other("b", {});
+    other.noteHeard(1, "a", NOW);
+    other.noteHeard(2, "a", NOW + milliseconds(900));
+    other.noteHeard(1, "a", NOW + milliseconds(1000)); // late
+    const steady_time due = NOW + milliseconds(900) + giver_lease_terms().takeover;
+    other.noteRead(2, "a", NOW + milliseconds(3000)); // nothing new in the log
+    CHECK_FALSE(other.shouldAppend(due - milliseconds(1)));
+    CHECK(other.shouldAppend(due));
+    CHECK(other.end() == 2);
+}
+
 TEST_CASE("a restarted instance takes over from its former incarnation at once, others wait", "[unit]")
 {
     giver_lease restarted(makeHolder("x", 2), {});
