Logs and metrics say why an answer ended and how late the threads are

An attempt that the gateway gave up and one that the server broke off both read stream_broken; the line of a request is dropped beyond the limit of lines per second; no line shows a delay of a thread, the age of the configuration or how long the server had been silent.

Change: each attempt's end is typed (attempt_end) and stands in the request line; answer_cut is written for each answer that the gateway cuts, without limit, with the end of the last attempt, the silence, the repeats left, the age of the configuration and the last delays of both threads; answers_incomplete counts them by who ended them; a client that closes, resets or does not read is told apart; thread_delayed and thread_delay_ms show a late traffic or control thread.

Result: no decision changes.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -69,6 +69,12 @@
 
 }
 
+const char *toText(client_end end)
+{
+    static constexpr const char *NAMES[] = {"open", "closed", "reset", "not_reading"};
+    return NAMES[static_cast<int>(end)];
+}
+
 client_session::client_session(traffic_state &state, asio::ip::tcp::socket socket)
     : m_state(state)
     , m_stream(std::move(socket))
@@ -255,6 +261,7 @@
     const std::shared_ptr<request_flow> flow = m_flow;
     watchClient();
     co_await flow->run();
+    reportUnanswered(facts, flow->outcome());
     logOutcome(facts, flow->outcome());
 }
 
@@ -282,6 +289,7 @@
         return;
     }
     if (error) {
+        m_clientEnd = error == asio::error::eof ? client_end::closed : client_end::reset;
         handleClientGone();
         return;
     }
@@ -314,6 +322,7 @@
     co_await asio::async_write(m_stream, asio::buffer(bytes), into(error));
     m_stream.expires_never();
     if (error && !m_clientGone) {
+        m_clientEnd = error == beast::error::timeout ? client_end::not_reading : client_end::reset;
         handleClientGone();
     }
     co_return !error;
@@ -387,6 +396,36 @@
     co_await respond(status, headers, body);
 }
 
+void client_session::reportUnanswered(const request_facts &facts, const request_outcome &outcome) const
+{
+    if (!m_cut && !m_clientGone) {
+        return;
+    }
+    const char *by = m_cut ? "gateway" : toText(m_clientEnd);
+    m_state.counters.count("answers_incomplete", {{"ended_by", by}, {"attempt", toText(outcome.lastEnd)}});
+    if (!m_cut) {
+        return;
+    }
+    const steady_time now = std::chrono::steady_clock::now();
+    const auto age = [now](steady_time since) { return std::to_string(std::chrono::duration_cast<milliseconds>(now - since).count()); };
+    logLine(log_level::warning, "answer_cut",
+            {{"request", facts.id},
+             {"route", facts.matched->name},
+             {"reason", outcome.reason},
+             {"attempt", toText(outcome.lastEnd)},
+             {"silent_ms", std::to_string(outcome.silence.count())},
+             {"ms", age(facts.accepted)},
+             {"events", std::to_string(outcome.events)},
+             {"runs", std::to_string(outcome.runs)},
+             {"refused", std::to_string(outcome.refused)},
+             {"servers", outcome.servers},
+             {"repeats_left", std::to_string(static_cast<int>(m_state.budgetOf(facts.service).left(now)))},
+             {"config", std::to_string(facts.config->version)},
+             {"config_age_ms", age(m_state.configSince)},
+             {"traffic_delay_ms", std::to_string(m_state.trafficDelay.count())},
+             {"control_delay_ms", std::to_string(m_state.controlDelay.count())}});
+}
+
 void client_session::logOutcome(const request_facts &facts, const request_outcome &outcome) const
 {
     const steady_time now = std::chrono::steady_clock::now();
@@ -408,6 +447,8 @@
              {"status", std::to_string(outcome.status)},
              {"reason", reason},
              {"cut", outcome.cut ? "yes" : "no"},
+             {"attempt", toText(outcome.lastEnd)},
+             {"client", m_clientGone ? toText(m_clientEnd) : ""},
              {"ms", std::to_string(took.count())},
              {"first_ms", std::to_string(outcome.firstByte.count())},
              {"gap_ms", std::to_string(outcome.longestGap.count())},
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -9,6 +9,17 @@
 namespace chestnut
 {
 
+// How a client connection ended before its answer was complete.
+enum class client_end
+{
+    open,        // it has not
+    closed,      // the client closed its sending direction
+    reset,       // the client or the network reset the connection
+    not_reading, // the client accepted no data for too long
+};
+
+const char *toText(client_end end);
+
 class client_session : public answer_sink, public std::enable_shared_from_this<client_session>
 {
 public:
@@ -47,6 +58,8 @@
     void readAhead();
     // Aborts the flow in progress.
     void handleClientGone();
+    // Counts an answer that was not completed, and logs it if the gateway cut it; these lines are not limited.
+    void reportUnanswered(const request_facts &facts, const request_outcome &outcome) const;
     void logOutcome(const request_facts &facts, const request_outcome &outcome) const;
     std::string encodeHead(int status, const header_list &headers) const;
 
@@ -60,7 +73,8 @@
     bool m_keepAlive = true;
     bool m_isHeadRequest = false; // the current request is a HEAD request, whose answer has no body
     bool m_clientGone = false;    // the client has closed the connection
-    bool m_cut = false;           // cut() has closed the connection
+    client_end m_clientEnd = client_end::open;
+    bool m_cut = false; // cut() has closed the connection
 };
 
 }
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -149,6 +149,7 @@
 void generation_flow::noteRefusal(const answer_head &head, const std::string &address)
 {
     ++m_outcome.refused;
+    m_outcome.lastEnd = attempt_end::refused;
     const std::string faulty(headerValue(head.headers, m_state.headerNames.faultyStage));
     avoid(faulty.empty() ? address : faulty, failure_kind::refused);
     logLine(log_level::debug, "path_refused", {{"request", m_facts.id}, {"status", std::to_string(head.status)}, {"at", faulty}, {"first", address}});
@@ -171,6 +172,7 @@
         co_return attempt_result::client_gone;
     }
     if (status != exchange_status::ok) {
+        m_outcome.lastEnd = attempt_end::not_connected;
         avoid(path.front().address, failure_kind::unreachable);
         co_return attempt_result::not_run;
     }
@@ -230,10 +232,13 @@
 
 generation_flow::attempt_result generation_flow::handleBrokenExchange(const std::string &address, exchange_status status)
 {
+    m_outcome.silence = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_lastProgress);
     if (overdue()) {
+        m_outcome.lastEnd = attempt_end::deadline;
         return attempt_result::broken;
     }
     if (status != exchange_status::aborted) { // aborted by the stall monitor, which has already noted the server at fault
+        m_outcome.lastEnd = attempt_end::server_broke;
         avoid(address, status == exchange_status::timed_out ? failure_kind::silent : failure_kind::broken);
     }
     return attempt_result::broken;
@@ -255,6 +260,7 @@
         co_return co_await forwardErrorAnswer(exchange);
     }
     if (isUnusable(head)) {
+        m_outcome.lastEnd = attempt_end::server_broke;
         avoid(path.front().address, failure_kind::broken);
         co_return attempt_result::broken;
     }
@@ -270,9 +276,11 @@
     if (m_abandoned) {
         co_return attempt_result::client_gone;
     }
+    m_outcome.lastEnd = attempt_end::server_broke;
     if (status != exchange_status::ok || m_streamBegan) {
         co_return attempt_result::broken;
     }
+    m_outcome.lastEnd = attempt_end::answered;
     m_outcome.reason = "server_failure";
     co_await forwardAnswer(exchange.head(), body);
     co_return attempt_result::error_forwarded;
@@ -307,6 +315,7 @@
         }
     }
     if (m_splitter.pendingBytes() > 0) {
+        m_outcome.lastEnd = attempt_end::server_broke;
         avoid(exchange.address(), failure_kind::broken);
         co_return attempt_result::broken; // the answer ended in the middle of an event
     }
@@ -318,6 +327,7 @@
         }
     }
     m_outcome.reason = "complete";
+    m_outcome.lastEnd = attempt_end::answered;
     if (m_outcome.runs == 1) {
         const auto rest = std::chrono::duration_cast<milliseconds>(m_lastEvent - m_facts.accepted) - m_outcome.firstByte;
         m_state.streamTime.addSample(m_outcome.firstByte, rest, m_splitter.events());
@@ -368,16 +378,17 @@
     }
     if (!report || !report->ok) {
         avoid(exchange.address(), failure_kind::silent);
-        co_return shouldKeepWaiting();
+        co_return shouldKeepWaiting(attempt_end::silent);
     }
     const auto stalled = report->stalledRequests.find(m_facts.id);
     const bool named = stalled != report->stalledRequests.end() && !stalled->second.empty();
     if (!named || !usesStage(stalled->second)) { // a report is some 100 ms old and may name a stage that has been replaced
         if (!m_headRead && m_emptyInquiries >= QUEUE_EXIT_INQUIRIES && leaveQueue()) {
+            m_outcome.lastEnd = attempt_end::queued;
             co_return false;
         }
         if (m_emptyInquiries + 1 >= MAX_EMPTY_INQUIRIES) {
-            co_return shouldKeepWaiting();
+            co_return shouldKeepWaiting(attempt_end::no_progress);
         }
         ++m_emptyInquiries;
         co_return true;
@@ -392,7 +403,7 @@
         const auto path = pathAround(lostAddress);
         if (!path) {
             logLine(log_level::info, "stream_not_moved", {{"request", m_facts.id}, {"lost", lostAddress}, {"reason", "no replacement"}});
-            co_return shouldKeepWaiting();
+            co_return shouldKeepWaiting(attempt_end::stage_lost);
         }
         auto answer = std::make_shared<one_shot<order_answer>>(m_state.context, std::chrono::steady_clock::now() + ORDER_TIMEOUT);
         m_state.control.orderRepath(path->front().address, path->front().server, m_facts.id, *path, [answer](order_outcome outcome, const std::string &faulty) {
@@ -422,7 +433,7 @@
         }
         avoid(ordered->faulty, failure_kind::refused);
     }
-    co_return shouldKeepWaiting();
+    co_return shouldKeepWaiting(attempt_end::stage_lost);
 }
 
 bool generation_flow::usesStage(const std::string &address) const
@@ -438,10 +449,14 @@
     return allowed && m_state.choosePath(*service(), m_facts.tokens, m_avoided, ignoreCapacity, now);
 }
 
-bool generation_flow::shouldKeepWaiting()
+bool generation_flow::shouldKeepWaiting(attempt_end cause)
 {
     ++m_emptyInquiries;
-    return !canStartAnotherAttempt(true);
+    if (!canStartAnotherAttempt(true)) {
+        return true;
+    }
+    m_outcome.lastEnd = cause;
+    return false;
 }
 
 bool generation_flow::leaveQueue()
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -66,8 +66,8 @@
     // True if the limits on repeats allow another attempt and there is a path for it.
     bool canStartAnotherAttempt(bool ignoreCapacity) const;
     // Counts an inquiry without result. True unless another attempt is possible: without one the stalled attempt is kept, and the
-    // client decides how long it waits.
-    bool shouldKeepWaiting();
+    // client decides how long it waits. `cause` is noted as the end of the attempt that is given up.
+    bool shouldKeepWaiting(attempt_end cause);
     // For a request that has waited too long in the queue of its first server. True if another first server has KV capacity for it;
     // the current one is then avoided by the next attempt.
     bool leaveQueue();
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds CONFIRMATION_AGE_STEP{250};      // added for each further instance
 constexpr int MAX_CONFIRMATION_AGE_STEPS = 3;
 constexpr milliseconds LOAD_REPORT_INTERVAL{80}; // interval at which this instance's load is passed to the mesh
+constexpr milliseconds LOOP_DELAY_LOGGED{100};   // a thread that is later than this is logged
 constexpr seconds DROPPED_LINES_INTERVAL{5};     // interval of the log line with the number of dropped lines
 
 using platform_plugins = plugin_registry<platform_port, event_loop &, const std::string &, metrics &>;
@@ -86,6 +87,8 @@
     mesh_handler meshHandler();
     void joinMesh();
     void reportLoad();
+    // Measures how late the traffic thread runs a timer and the control thread runs a task.
+    void measureDelays(steady_time now);
     void answerMetrics(http_call &call);
     void awaitSignal();
     void drainStep();
@@ -115,7 +118,7 @@
 {
     control_handler handler;
     handler.onConfig
-        = [this](std::shared_ptr<const gateway_config> config) { asio::post(m_context, [this, config = std::move(config)] { m_state.config = config; }); };
+        = [this](std::shared_ptr<const gateway_config> config) { asio::post(m_context, [this, config = std::move(config)] { m_state.applyConfig(config); }); };
     handler.onFleet
         = [this](std::shared_ptr<const fleet_snapshot> fleet) { asio::post(m_context, [this, fleet = std::move(fleet)] { m_state.applyFleet(fleet); }); };
     return handler;
@@ -188,9 +191,26 @@
     });
 }
 
+void gateway_process::measureDelays(steady_time now)
+{
+    const auto note = [this](const char *thread, milliseconds &last, milliseconds delay) {
+        last = delay;
+        m_counters.set("thread_delay_ms", static_cast<double>(delay.count()), {{"thread", thread}});
+        if (delay >= LOOP_DELAY_LOGGED) {
+            logLine(log_level::info, "thread_delayed", {{"thread", thread}, {"ms", std::to_string(delay.count())}});
+        }
+    };
+    const auto elapsed = [](steady_time since) { return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - since); };
+    if (m_loadTimer.expiry() != steady_time()) {
+        note("traffic", m_state.trafficDelay, std::max(milliseconds(0), elapsed(m_loadTimer.expiry())));
+    }
+    m_control.post([this, now, elapsed, note] { asio::post(m_context, [this, note, delay = elapsed(now)] { note("control", m_state.controlDelay, delay); }); });
+}
+
 void gateway_process::reportLoad()
 {
     const steady_time now = std::chrono::steady_clock::now();
+    measureDelays(now);
     m_counters.set("peers_live", m_state.peers.livePeers(now));
     const auto left = std::chrono::ceil<milliseconds>(m_state.drainEnd - now);
     const milliseconds stopping = m_state.draining ? std::max(left, milliseconds(1)) : milliseconds(0);
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -115,6 +115,7 @@
         if (!m_abandoned) {
             noteFailure(server.address, failure_kind::unreachable);
         }
+        m_outcome.lastEnd = attempt_end::not_connected;
         co_return try_result::not_run;
     }
     if (m_abandoned) {
@@ -134,11 +135,13 @@
     if (status == exchange_status::ok && saysNotRun(m_head)) {
         ++m_outcome.refused;
         m_hasRefusal = true;
+        m_outcome.lastEnd = attempt_end::refused;
         noteFailure(server.address, failure_kind::refused);
         co_return try_result::not_run;
     }
     ++m_outcome.runs;
     if (status != exchange_status::ok || isUnusable(m_head)) {
+        m_outcome.lastEnd = status == exchange_status::timed_out ? attempt_end::deadline : attempt_end::server_broke;
         if (!m_abandoned) {
             noteFailure(server.address, failure_kind::broken); // also after a timeout: one slow answer does not show that the server is lost
         }
@@ -154,6 +157,7 @@
         co_return try_result::uncertain;
     }
     m_hasAnswer = true;
+    m_outcome.lastEnd = attempt_end::answered;
     if (m_head.status >= 500) {
         noteFailure(server.address, failure_kind::error);
     } else {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -33,6 +33,13 @@
 
 }
 
+const char *toText(attempt_end end)
+{
+    static constexpr const char *NAMES[]
+        = {"none", "answered", "refused", "not_connected", "server_broke", "deadline", "silent", "stage_lost", "queued", "no_progress", "client_left"};
+    return NAMES[static_cast<int>(end)];
+}
+
 std::string errorBody(const char *reason)
 {
     return std::string("{\"error\":\"") + reason + "\"}\n";
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -42,6 +42,24 @@
     double maxAnswerTokens = 0; // upper limit of the answer tokens
 };
 
+// How the last attempt at a server ended, for logs and metrics.
+enum class attempt_end
+{
+    none,          // no attempt was made
+    answered,      // the server's answer was read completely
+    refused,       // the server did not execute the request
+    not_connected, // no connection to the server
+    server_broke,  // the server closed the connection or sent an invalid answer
+    deadline,      // the time of the request was up
+    silent,        // given up by the gateway: the server sent no data and no report
+    stage_lost,    // given up by the gateway: a stage of the path was lost and could not be replaced
+    queued,        // given up by the gateway: the request waited too long in the server's queue
+    no_progress,   // given up by the gateway: reports, but no data
+    client_left,   // the client closed its connection
+};
+
+const char *toText(attempt_end end);
+
 // Result of a request, for logs and metrics.
 struct request_outcome
 {
@@ -55,6 +73,8 @@
     milliseconds firstByte{-1}; // from acceptance of the request; -1 = no server's answer was forwarded
     milliseconds longestGap{0}; // between two events forwarded to the client
     bool cut = false;           // the answer ended in mid-stream
+    attempt_end lastEnd = attempt_end::none;
+    milliseconds silence{0}; // from the last data of the server until the end of the last attempt
 };
 
 // Common base of the flows. The owner keeps a flow alive until run() has finished.
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -59,6 +59,12 @@
 {
 }
 
+void traffic_state::applyConfig(std::shared_ptr<const gateway_config> next)
+{
+    config = std::move(next);
+    configSince = std::chrono::steady_clock::now();
+}
+
 void traffic_state::applyFleet(std::shared_ptr<const fleet_snapshot> next)
 {
     std::map<std::string, std::uint64_t> before; // address -> incarnation
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -61,6 +61,7 @@
     const header_names &headerNames;
     control_calls control;
     std::shared_ptr<const gateway_config> config; // null until received
+    steady_time configSince{};                    // when `config` was put in force
     std::shared_ptr<const fleet_snapshot> fleet;  // null until received
     server_health health;
     shared_load peers;                    // load reports of the other instances
@@ -69,15 +70,19 @@
     upstream_pool pool;
     pcg32 random;
     log_line_limiter logLimiter;
-    bool draining = false;  // shutdown is in progress
-    steady_time drainEnd{}; // latest end of the process; valid while draining
-    int openRequests = 0;   // received, not fully answered yet
+    bool draining = false;        // shutdown is in progress
+    steady_time drainEnd{};       // latest end of the process; valid while draining
+    int openRequests = 0;         // received, not fully answered yet
+    milliseconds trafficDelay{0}; // last measured lateness of a timer of the traffic thread
+    milliseconds controlDelay{0}; // last measured time from posting a task to the control thread until it ran
 
     // True if the load balancer should send new connections to this instance.
     bool ready() const
     {
         return config && fleet && !draining;
     }
+    // Puts a new configuration in force for the requests that are read from now on.
+    void applyConfig(std::shared_ptr<const gateway_config> next);
     // Puts a new list of servers in force; resets the health of addresses at which another process runs now.
     void applyFleet(std::shared_ptr<const fleet_snapshot> next);
     // This instance's load report for its peers.
