--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -160,12 +160,8 @@
     m_path = path;
     m_load = std::make_unique<path_load>(m_state.health, path, m_facts.tokens);
     m_splitter = event_splitter();
-    m_exchange = std::make_shared<upstream_exchange>(m_state.pool, path.front().address);
-    const std::shared_ptr<upstream_exchange> exchange = m_exchange;
-    const scope_guard release([this] {
-        m_exchange.reset();
-        m_load.reset();
-    });
+    const std::shared_ptr<upstream_exchange> exchange = makeExchange(path.front().address);
+    const scope_guard release([this] { m_load.reset(); });
     const steady_time start = std::chrono::steady_clock::now();
     exchange_status status = co_await exchange->connect(false, std::min<steady_time>(m_facts.deadline, start + CONNECT_TIMEOUT));
     if (m_abandoned) {
@@ -310,7 +306,7 @@
         }
         m_lastProgress = std::chrono::steady_clock::now();
         const std::string events = m_splitter.feed(piece);
-        if (!events.empty() && !co_await forwardEvents(events)) {
+        if (!events.empty() && !co_await forwardEvents(events, exchange.head().status)) {
             co_return attempt_result::client_gone;
         }
     }
@@ -336,14 +332,14 @@
     co_return attempt_result::complete;
 }
 
-asio::awaitable<bool> generation_flow::forwardEvents(const std::string &events)
+asio::awaitable<bool> generation_flow::forwardEvents(const std::string &events, int status)
 {
     const steady_time now = std::chrono::steady_clock::now();
     if (m_streamBegan) {
         m_outcome.longestGap = std::max(m_outcome.longestGap, std::chrono::duration_cast<milliseconds>(now - m_lastEvent));
     } else {
         m_streamBegan = true;
-        m_outcome.status = m_exchange->head().status;
+        m_outcome.status = status;
         m_outcome.firstByte = std::chrono::duration_cast<milliseconds>(now - m_facts.accepted);
         if (!co_await m_sink.beginStream(m_outcome.status, m_headers)) {
             co_return false;
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -49,7 +49,8 @@
     attempt_result handleBrokenExchange(const std::string &address, exchange_status status);
     asio::awaitable<attempt_result> forwardStream(upstream_exchange &exchange);
     asio::awaitable<attempt_result> forwardErrorAnswer(upstream_exchange &exchange);
-    asio::awaitable<bool> forwardEvents(const std::string &events);
+    // Sends whole events to the client, after the head with this status if it was not sent yet.
+    asio::awaitable<bool> forwardEvents(const std::string &events, int status);
     // Finds the stage that stalls the attempt and replaces it. False if the attempt is to be aborted.
     asio::awaitable<bool> handleStall(upstream_exchange &exchange);
     struct order_answer
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -99,16 +99,12 @@
     m_body.clear();
     m_hasRefusal = false;
     m_hasAnswer = false;
-    m_exchange = std::make_shared<upstream_exchange>(m_state.pool, server.address);
-    const std::shared_ptr<upstream_exchange> exchange = m_exchange;
+    const std::shared_ptr<upstream_exchange> exchange = makeExchange(server.address);
     if (m_facts.message->method() == http::verb::head) {
         exchange->expectNoBody();
     }
     ++m_state.health.of(server.address).running;
-    const scope_guard release([this, &server] {
-        --m_state.health.of(server.address).running;
-        m_exchange.reset();
-    });
+    const scope_guard release([this, &server] { --m_state.health.of(server.address).running; });
     const steady_time connectUntil = std::min(m_facts.deadline, start + CONNECT_TIMEOUT);
     exchange_status status = co_await exchange->connect(freshConnection, connectUntil);
     if (status != exchange_status::ok) {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -69,11 +69,20 @@
 void request_flow::abandon()
 {
     m_abandoned = true;
-    if (m_exchange) {
-        m_exchange->abort();
+    for (const auto &known : m_exchanges) {
+        if (const auto exchange = known.lock()) {
+            exchange->abort();
+        }
     }
 }
 
+std::shared_ptr<upstream_exchange> request_flow::makeExchange(const std::string &address)
+{
+    auto exchange = std::make_shared<upstream_exchange>(m_state.pool, address);
+    m_exchanges.push_back(exchange);
+    return exchange;
+}
+
 bool request_flow::overdue() const
 {
     return std::chrono::steady_clock::now() >= m_facts.deadline;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -84,7 +84,7 @@
     request_flow(traffic_state &state, request_facts facts, answer_sink &sink);
     virtual ~request_flow();
     virtual asio::awaitable<void> run() = 0;
-    // Aborts the exchange in progress, since the client has closed its connection.
+    // Aborts all exchanges in progress, since the client has closed its connection.
     void abandon();
     const request_outcome &outcome() const
     {
@@ -92,6 +92,8 @@
     }
 
 protected:
+    // Creates an exchange with a server, which abandon() aborts as long as it exists.
+    std::shared_ptr<upstream_exchange> makeExchange(const std::string &address);
     // Encodes the request as sent to a server; extra headers come last and replace those of the client.
     std::string encodeRequest(const listed_server &server, const header_list &extra, steady_time now) const;
     // Sends an error answer of the gateway's own, with the reason in a JSON body.
@@ -112,8 +114,10 @@
     request_facts m_facts;
     answer_sink &m_sink;
     request_outcome m_outcome;
-    std::shared_ptr<upstream_exchange> m_exchange; // in progress, else null
     bool m_abandoned = false;
+
+private:
+    std::vector<std::weak_ptr<upstream_exchange>> m_exchanges;
 };
 
 std::shared_ptr<request_flow> makeFlow(traffic_state &state, request_facts facts, answer_sink &sink);
