A client that reads slowly is not taken for a silent server

Callers that read a large stream slowly had its server asked for reports and then given up for another one: while an event waits for the client nothing is read from the server, and that time counted as the server's silence.

Change: while an event is being written the stall monitor waits, and the silence counts from the end of the write. Evidence: "a stream that its client reads slowly is not taken for a silent one" failed before (another server was asked) and passes now.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -372,6 +372,7 @@
 asio::awaitable<bool> generation_flow::forwardEvents(stream_attempt &attempt, const std::string &events)
 {
     const steady_time now = std::chrono::steady_clock::now();
+    attempt.blockedByClient = true;
     if (m_streamBegan) {
         m_outcome.longestGap = std::max(m_outcome.longestGap, std::chrono::duration_cast<milliseconds>(now - m_lastEvent));
     } else {
@@ -392,7 +393,10 @@
     }
     m_lastId = attempt.splitter.lastId();
     m_outcome.events = attempt.splitter.events();
-    co_return co_await m_sink.writeStream(events);
+    const bool written = co_await m_sink.writeStream(events);
+    attempt.blockedByClient = false;
+    attempt.lastData = std::chrono::steady_clock::now();
+    co_return written;
 }
 
 opening_state generation_flow::noteBroken(const stream_attempt &attempt, const upstream_exchange &exchange, exchange_status status)
@@ -430,8 +434,9 @@
 asio::awaitable<void> generation_flow::monitorStalls(std::shared_ptr<generation_flow>, attempt_ptr attempt)
 {
     while (!attempt->ended && !m_abandoned) {
-        const steady_time until = attempt->nextInquiry();
-        if (std::chrono::steady_clock::now() < until) {
+        const steady_time now = std::chrono::steady_clock::now();
+        const steady_time until = attempt->blockedByClient ? now + attempt->stallTimeout() : attempt->nextInquiry();
+        if (now < until) {
             boost::system::error_code ignored; // cancelled at the end of the attempt
             attempt->stallTimer.expires_at(until);
             co_await attempt->stallTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/gateway/stream_attempt.h
+++ b/src/gateway/stream_attempt.h
@@ -64,6 +64,7 @@
     steady_time lastInquiry{};    // end of the last inquiry
     int emptyInquiries = 0;       // consecutive inquiries without result since the last data
     bool headRead = false;        // the server has begun to answer
+    bool blockedByClient = false; // an event is being written: no data is read meanwhile
     bool replaced = false;        // another attempt has answered first
     bool ended = false;
 };
--- a/tests/gateway_second_attempt_test.cpp
+++ b/tests/gateway_second_attempt_test.cpp
@@ -124,6 +124,41 @@
     CHECK(std::chrono::steady_clock::now() - left < RELEASE_LIMIT);
 }
 
+TEST_CASE("a stream that its client reads slowly is not taken for a silent one", "[failure]")
+{
+    constexpr int EVENTS = 300;
+    const std::string data(60 * 1024, 'x');
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.waitForClose(2000); // no answer
+            return false;
+        }
+        out.write(streamHead(in));
+        for (int id = 0; id < EVENTS; ++id) {
+            out.write(chunk("id: " + std::to_string(id) + "\ndata: " + data + "\n\n"));
+        }
+        out.write("0\r\n\r\n");
+        return true;
+    });
+    scripted_server other([](raw_connection &out, const raw_request &in) {
+        out.write(in.target() == "/report" ? report(in) : notRun(in));
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "id1"));
+    REQUIRE(eventually([&] { return server.count() == 1; }));
+    site.addServer("i-2", "lm", other.address(), 0, 4);
+    raw_client pause(site.front());
+    pause.readUntil("\x01never", 2000); // nothing is read from the stream meanwhile
+    const std::string got = client.readUntil("\r\n0\r\n\r\n", 20000);
+    CHECK(got.ends_with("\r\n0\r\n\r\n"));
+    CHECK(countOf(got, "id: ") == EVENTS);
+    CHECK(other.count() == 0);
+}
+
 TEST_CASE("an order answered after its attempt has ended does not change the next attempt", "[failure]")
 {
     std::atomic<bool> ordered = false;
