A report that is late because of the gateway's own threads does not make a server count as silent

Callers lost repeats, and sound servers were avoided for 1.5 s by all instances, after the gateway itself had stood still (frozen, or its control thread busy) while it waited for a report: the time limit of the report had passed before it was read.

The delay of the control thread includes a task that still waits. Class: own delay read as a partner's silence.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -423,7 +423,7 @@
              {"config", std::to_string(facts.config->version)},
              {"config_age_ms", age(m_state.configSince)},
              {"traffic_delay_ms", std::to_string(m_state.trafficDelay.count())},
-             {"control_delay_ms", std::to_string(m_state.controlDelay.count())}});
+             {"control_delay_ms", std::to_string(m_state.controlDelayAt(now).count())}});
 }
 
 void client_session::logOutcome(const request_facts &facts, const request_outcome &outcome) const
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -89,6 +89,8 @@
     //-- Helpers --
     // Counts and logs why no path was found: layers that no server holds, servers that have just failed, or too little KV capacity.
     void reportNoPath();
+    // True if a report that was due at that time may be missing because a thread of this process is late.
+    bool isOwnDelay(steady_time due) const;
     // True if the route's streams can be resumed and the limit of attempts is not reached.
     bool mayResume() const;
     // Avoids the server that a refusal names as the one at fault, which need not be the first one of the path.
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -204,7 +204,16 @@
     if (m_loadTimer.expiry() != steady_time()) {
         note("traffic", m_state.trafficDelay, std::max(milliseconds(0), elapsed(m_loadTimer.expiry())));
     }
-    m_control.post([this, now, elapsed, note] { asio::post(m_context, [this, note, delay = elapsed(now)] { note("control", m_state.controlDelay, delay); }); });
+    if (m_state.controlProbeSent != steady_time()) {
+        return; // the control thread has not run the last task yet
+    }
+    m_state.controlProbeSent = now;
+    m_control.post([this, now, elapsed, note] {
+        asio::post(m_context, [this, note, delay = elapsed(now)] {
+            m_state.controlProbeSent = {};
+            note("control", m_state.controlDelay, delay);
+        });
+    });
 }
 
 void gateway_process::reportLoad()
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -59,6 +59,12 @@
 {
 }
 
+milliseconds traffic_state::controlDelayAt(steady_time now) const
+{
+    const bool waiting = controlProbeSent != steady_time();
+    return std::max(controlDelay, waiting ? std::chrono::duration_cast<milliseconds>(now - controlProbeSent) : milliseconds(0));
+}
+
 void traffic_state::applyConfig(std::shared_ptr<const gateway_config> next)
 {
     config = std::move(next);
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -70,11 +70,15 @@
     upstream_pool pool;
     pcg32 random;
     log_line_limiter logLimiter;
-    bool draining = false;        // shutdown is in progress
-    steady_time drainEnd{};       // latest end of the process; valid while draining
-    int openRequests = 0;         // received, not fully answered yet
-    milliseconds trafficDelay{0}; // last measured lateness of a timer of the traffic thread
-    milliseconds controlDelay{0}; // last measured time from posting a task to the control thread until it ran
+    bool draining = false;          // shutdown is in progress
+    steady_time drainEnd{};         // latest end of the process; valid while draining
+    int openRequests = 0;           // received, not fully answered yet
+    milliseconds trafficDelay{0};   // last measured lateness of a timer of the traffic thread
+    milliseconds controlDelay{0};   // last measured time from posting a task to the control thread until it ran
+    steady_time controlProbeSent{}; // when the task was posted that the control thread has not run yet; 0 = none
+
+    // Age of the oldest task that the control thread has not run, or the last measured delay if that is longer.
+    milliseconds controlDelayAt(steady_time now) const;
 
     // True if the load balancer should send new connections to this instance.
     bool ready() const
--- a/tests/gateway_deployment.cpp
+++ b/tests/gateway_deployment.cpp
@@ -153,6 +153,11 @@
     return request("GET", "http://" + gateways[gateway]->listening().at("ready").get<std::string>() + "/ready").status;
 }
 
+std::string deployment::metricsText(std::size_t gateway) const
+{
+    return request("GET", "http://127.0.0.1:" + gateways[gateway]->listening().at("metrics_port").get<std::string>() + "/metrics").body;
+}
+
 void deployment::start(const std::vector<std::string> &moreSettings)
 {
     publish(1);
--- a/tests/gateway_deployment.h
+++ b/tests/gateway_deployment.h
@@ -46,6 +46,8 @@
     child_process &startGateway(const std::string &name = "g1", int endpoint = 0, const std::vector<std::string> &moreSettings = {});
     std::string front(std::size_t gateway = 0) const;
     int readyStatus(std::size_t gateway = 0) const;
+    // Metrics of a gateway in the Prometheus text format.
+    std::string metricsText(std::size_t gateway = 0) const;
     // Publishes the configuration, starts a gateway and waits until it is ready. Settings are "key=value" and replace the defaults.
     void start(const std::vector<std::string> &moreSettings = {});
 
--- a/tests/gateway_silence_test.cpp
+++ b/tests/gateway_silence_test.cpp
@@ -234,6 +234,36 @@
     CHECK(other.count() == 0);
 }
 
+TEST_CASE("a report that a frozen gateway reads late does not make its server count as silent", "[failure]")
+{
+    std::atomic<int> reports = 0;
+    std::atomic<bool> frozen = false;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            ++reports;
+            eventually([&] { return frozen.load(); });
+            out.write(report(in));
+            return true;
+        }
+        out.write(streamHead(in) + events(0, 0));
+        out.waitForClose(SILENCE_MS);
+        out.write(events(1, LAST_EVENT) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "id1"));
+    REQUIRE(eventually([&] { return reports == 1; }));
+    site.gateways[0]->signal(SIGSTOP);
+    frozen = true;
+    client.readUntil("\x01never", 500); // beyond the time limit of the report
+    site.gateways[0]->signal(SIGCONT);
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(site.metricsText().find("server_failures{kind=\"silent\"}") == std::string::npos);
+}
+
 //-----------------------------------------------------------------------------
 // Plain services
 //-----------------------------------------------------------------------------
