A raised idle limit applies to connections that already wait

Callers reuse a connection that has been idle for up to four fifths of the limit in force. A connection kept the limit under which its wait began: after a configuration that raised the limit from 1.5 s to 6 s it was closed after 1.5 s, under the hands of a caller that was entitled to use it.

At the end of its time, a connection that waits for a request now compares the limit with the configuration in force and waits for the rest of a higher one; a lower one applies from the next wait on. For this the session reads and writes with a timer of its own instead of the one of beast::tcp_stream, which closes the socket when it expires. It reads once more at the end of a time limit, so that a request that has arrived is not dropped.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <charconv>
 #include <netinet/tcp.h>
@@ -20,9 +18,10 @@
 
 using boost::system::error_code;
 
-constexpr milliseconds UNKNOWN_CONFIG_RETRY{400};       // Retry-After: a starting instance has loaded its configuration by then
-constexpr milliseconds WRITE_TIMEOUT{5000};             // a client that accepts no data for this long is disconnected
-constexpr milliseconds REJECT_LINGER{200};              // time to read on after an early rejection, so that a TCP reset does not discard the answer
+constexpr milliseconds UNKNOWN_CONFIG_RETRY{400}; // Retry-After: a starting instance has loaded its configuration by then
+constexpr milliseconds WRITE_TIMEOUT{5000};       // a client that accepts no data for this long is disconnected
+constexpr milliseconds REJECT_LINGER{200};        // time to read on after an early rejection, so that a TCP reset does not discard the answer
+constexpr std::size_t READ_BYTES = 4096;
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024; // of further requests, buffered while one is being answered
 constexpr int USER_TIMEOUT_MS = 4000;                   // unacknowledged data closes the connection after this time (TCP_USER_TIMEOUT)
 constexpr double DEFAULT_TOKENS = 800;                  // of a generation without token counts in its headers
@@ -77,14 +76,17 @@
 
 client_session::client_session(traffic_state &state, asio::ip::tcp::socket socket)
     : m_state(state)
-    , m_stream(std::move(socket))
+    , m_socket(std::move(socket))
+    , m_timer(state.context)
 {
-    const int native = m_stream.socket().native_handle();
+    const int native = m_socket.native_handle();
     const int on = 1;
     const int timeout = USER_TIMEOUT_MS;
     // Errors are ignored: without an option, latency is higher and a lost connection is detected later.
     (void)::setsockopt(native, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     (void)::setsockopt(native, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    error_code ignored; // asio sets the mode itself on the first asynchronous operation
+    m_socket.non_blocking(true, ignored);
 }
 
 asio::awaitable<void> client_session::run()
@@ -99,8 +101,8 @@
         co_await serve(message);
     }
     error_code ignored; // the connection is over either way
-    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-    m_stream.socket().close(ignored);
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
 }
 
 milliseconds client_session::maxAnswerTime(const request_facts &facts) const
@@ -122,39 +124,80 @@
 
 void client_session::closeWhenIdle()
 {
-    m_keepAlive = false;
+    m_closing = true;
     if (!m_serving && !m_reading && m_buffer.size() == 0) {
-        error_code ignored; // the connection is over either way
-        m_stream.socket().cancel(ignored);
+        cancelOperations();
     }
 }
 
-asio::awaitable<bool> client_session::readRequest(request_parser &parser)
+//-----------------------------------------------------------------------------
+// Receiving a request
+//-----------------------------------------------------------------------------
+
+client_limits client_session::currentLimits() const
+{
+    return m_state.config ? m_state.config->limits : client_limits();
+}
+
+void client_session::cancelOperations()
+{
+    error_code ignored; // nothing to cancel if the socket has been closed
+    m_socket.cancel(ignored);
+}
+
+void client_session::startTimeout(steady_time until)
+{
+    m_timer.expires_at(until);
+    m_timer.async_wait([self = shared_from_this(), number = ++m_timeouts](error_code error) {
+        if (!error && self->m_timeouts == number) {
+            self->cancelOperations();
+        }
+    });
+}
+
+void client_session::stopTimeout()
+{
+    ++m_timeouts;
+    m_timer.cancel();
+}
+
+asio::awaitable<error_code> client_session::receive(steady_time until)
 {
-    const client_limits limits = m_state.config ? m_state.config->limits : client_limits();
     error_code error;
+    startTimeout(until);
+    std::size_t got = co_await m_socket.async_read_some(m_buffer.prepare(READ_BYTES), into(error));
+    stopTimeout();
+    if (error == asio::error::operation_aborted && m_socket.is_open()) {
+        got = m_socket.read_some(m_buffer.prepare(READ_BYTES), error); // data may have arrived at the same moment
+        error = error == asio::error::would_block ? asio::error::timed_out : error;
+    }
+    m_buffer.commit(got);
+    co_return error;
+}
+
+asio::awaitable<bool> client_session::awaitRequest()
+{
+    const steady_time start = std::chrono::steady_clock::now();
+    milliseconds limit = currentLimits().idleTimeout;
+    error_code error = co_await receive(m_closing ? start : start + limit);
+    // The client uses the limit in force, which a newer configuration may have raised meanwhile.
+    while (error == asio::error::timed_out && !m_closing && currentLimits().idleTimeout > limit) {
+        limit = currentLimits().idleTimeout;
+        error = co_await receive(start + limit);
+    }
+    co_return !error;
+}
+
+asio::awaitable<bool> client_session::readRequest(request_parser &parser)
+{
     m_reading = m_buffer.size() > 0;
     if (!m_reading) {
-        m_stream.expires_after(limits.idleTimeout);
-        const std::size_t got = co_await m_stream.async_read_some(m_buffer.prepare(4096), into(error));
-        if (error) {
+        if (!co_await awaitRequest()) {
             co_return false;
         }
-        m_buffer.commit(got);
         m_reading = true;
     }
-    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-    parser.body_limit(limits.bodyBytes);
-    m_stream.expires_after(limits.headerTimeout);
-    co_await http::async_read_header(m_stream, m_buffer, parser, into(error));
-    if (!error && sameHeader(viewOf(parser.get()[http::field::expect]), "100-continue")) {
-        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await writeAll(interim);
-    }
-    if (!error && !parser.is_done()) {
-        m_stream.expires_after(limits.idleTimeout);
-        co_await http::async_read(m_stream, m_buffer, parser, into(error));
-    }
+    const error_code error = co_await readMessage(parser, currentLimits());
     if (error) {
         co_await rejectUnreadable(error);
         co_return false;
@@ -163,6 +206,36 @@
     co_return true;
 }
 
+asio::awaitable<error_code> client_session::readMessage(request_parser &parser, const client_limits &limits)
+{
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    parser.eager(true);
+    steady_time until = std::chrono::steady_clock::now() + limits.headerTimeout;
+    bool headerDone = false;
+    while (true) {
+        error_code error;
+        if (m_buffer.size() > 0) {
+            m_buffer.consume(parser.put(m_buffer.data(), error));
+        }
+        if (parser.is_done() || (error && error != http::error::need_more)) {
+            co_return error;
+        }
+        if (parser.is_header_done() && !headerDone) {
+            headerDone = true;
+            until = std::chrono::steady_clock::now() + limits.idleTimeout;
+            if (sameHeader(viewOf(parser.get()[http::field::expect]), "100-continue")) {
+                const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+                co_await writeAll(interim);
+            }
+        }
+        error = co_await receive(until);
+        if (error) {
+            co_return error;
+        }
+    }
+}
+
 asio::awaitable<void> client_session::rejectUnreadable(error_code error)
 {
     m_keepAlive = false;
@@ -174,27 +247,31 @@
     } else if (error == http::error::body_limit) {
         status = 413;
         reason = "body_too_large";
-    } else if (error == beast::error::timeout) {
+    } else if (error == asio::error::timed_out) {
         status = 408;
         reason = "request_too_slow";
-    } else if (error == http::error::end_of_stream || error == http::error::partial_message || error.category() == asio::error::get_system_category()) {
+    } else if (error.category() != http::make_error_code(http::error::need_more).category()) {
         co_return; // the client closed the connection
     }
     m_state.counters.count("requests_unreadable", {{"reason", reason}});
     logLine(log_level::info, "request_unreadable", {{"reason", reason}, {"error", error.message()}});
     if (status == 408) {
-        co_return; // tcp_stream has closed the socket on expiry
+        co_return;
     }
     co_await rejectRequest(status, reason, "");
     // Reads on for a moment: closing a socket with unread data sends a TCP reset, which may discard the answer.
-    std::array<char, 8192> ignored;
-    m_stream.expires_after(REJECT_LINGER);
+    const steady_time until = std::chrono::steady_clock::now() + REJECT_LINGER;
     error_code ended;
     while (!ended) {
-        co_await m_stream.async_read_some(asio::buffer(ignored), into(ended));
+        m_buffer.clear();
+        ended = co_await receive(until);
     }
 }
 
+//-----------------------------------------------------------------------------
+// Answering a request
+//-----------------------------------------------------------------------------
+
 asio::awaitable<bool> client_session::admit(const client_message &message, request_facts &facts)
 {
     const header_names &headerNames = m_state.headerNames;
@@ -248,8 +325,7 @@
         --m_state.openRequests;
         m_flow.reset();
         ++m_requestEpoch;
-        error_code ignored; // nothing to cancel if the client has closed the connection
-        m_stream.socket().cancel(ignored);
+        cancelOperations(); // watchClient()
     });
     m_keepAlive = m_keepAlive && message.keep_alive() && !m_state.draining;
     m_isHeadRequest = message.method() == http::verb::head;
@@ -272,7 +348,7 @@
 void client_session::watchClient()
 {
     const std::uint64_t epoch = m_requestEpoch;
-    m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this(), epoch](error_code error) {
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this(), epoch](error_code error) {
         if (!error && self->m_requestEpoch == epoch) {
             self->readAhead();
         }
@@ -282,8 +358,7 @@
 void client_session::readAhead()
 {
     error_code error;
-    m_stream.socket().non_blocking(true, error);
-    const std::size_t got = m_stream.socket().read_some(m_buffer.prepare(4096), error);
+    const std::size_t got = m_socket.read_some(m_buffer.prepare(READ_BYTES), error);
     if (error == asio::error::would_block) {
         watchClient();
         return;
@@ -317,12 +392,15 @@
     if (m_clientGone || m_cut) {
         co_return false;
     }
-    m_stream.expires_after(WRITE_TIMEOUT);
+    startTimeout(std::chrono::steady_clock::now() + WRITE_TIMEOUT);
     error_code error;
-    co_await asio::async_write(m_stream, asio::buffer(bytes), into(error));
-    m_stream.expires_never();
+    std::size_t sent = 0;
+    while (sent < bytes.size() && !error) {
+        sent += co_await m_socket.async_write_some(asio::buffer(bytes) + sent, into(error));
+    }
+    stopTimeout();
     if (error && !m_clientGone) {
-        m_clientEnd = error == beast::error::timeout ? client_end::not_reading : client_end::reset;
+        m_clientEnd = error == asio::error::operation_aborted ? client_end::not_reading : client_end::reset;
         handleClientGone();
     }
     co_return !error;
@@ -382,7 +460,7 @@
     m_cut = true;
     m_keepAlive = false;
     error_code ignored; // the connection is over either way
-    m_stream.socket().close(ignored);
+    m_socket.close(ignored);
 }
 
 asio::awaitable<void> client_session::rejectRequest(int status, const char *reason, const std::string &id, milliseconds retryAfter)
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -4,6 +4,8 @@
 
 #include "gateway/request_flow.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 namespace chestnut
@@ -37,7 +39,18 @@
 private:
     using request_parser = http::request_parser<http::string_body>;
 
+    // Waits for the first data of the next request. False if the connection is to be closed.
+    asio::awaitable<bool> awaitRequest();
     asio::awaitable<bool> readRequest(request_parser &parser);
+    // Reads until the parser has a whole request.
+    asio::awaitable<boost::system::error_code> readMessage(request_parser &parser, const client_limits &limits);
+    // Reads data into the buffer. The error is `timed_out` if there is none at `until`, or if cancelOperations() was called.
+    asio::awaitable<boost::system::error_code> receive(steady_time until);
+    // Cancels the operations of the socket at `until`, unless stopTimeout() is called before.
+    void startTimeout(steady_time until);
+    void stopTimeout();
+    void cancelOperations();
+    client_limits currentLimits() const;
     // Answers a request that cannot be parsed, if HTTP has a status for the error; the connection closes.
     asio::awaitable<void> rejectUnreadable(boost::system::error_code error);
     asio::awaitable<void> serve(client_message &message);
@@ -64,12 +77,15 @@
     std::string encodeHead(int status, const header_list &headers) const;
 
     traffic_state &m_state;
-    beast::tcp_stream m_stream;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;   // see startTimeout()
+    std::uint64_t m_timeouts = 0; // number of calls of startTimeout() and stopTimeout(), so that a stale timer event is ignored
     beast::flat_buffer m_buffer;
     std::shared_ptr<request_flow> m_flow; // in progress, else null
     std::uint64_t m_requestEpoch = 0;     // increased at the start and end of each request, so that a stale read event is ignored
     bool m_serving = false;               // a request is being answered
     bool m_reading = false;               // a request has been received in part
+    bool m_closing = false;               // closeWhenIdle() was called
     bool m_keepAlive = true;
     bool m_isHeadRequest = false; // the current request is a HEAD request, whose answer has no body
     bool m_clientGone = false;    // the client has closed the connection
