A request that is not received in time gets status 408, and a slow body is accepted

Callers whose request was not complete within the time limit found their connection closed without a word, and the limit of the body counted from its first byte: one byte every 0.3 s under an idle limit of 0.8 s was cut off in the middle of the body.

The time limit of the body counts from the last data received. Larger reads are used for bodies.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds UNKNOWN_CONFIG_RETRY{400}; // Retry-After: a starting instance has loaded its configuration by then
 constexpr milliseconds WRITE_TIMEOUT{5000};       // a client that accepts no data for this long is disconnected
 constexpr milliseconds REJECT_LINGER{200};        // time to read on after an early rejection, so that a TCP reset does not discard the answer
-constexpr std::size_t READ_BYTES = 4096;
+constexpr std::size_t BODY_READ_BYTES = 64 * 1024;
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024; // of further requests, buffered while one is being answered
 constexpr int USER_TIMEOUT_MS = 4000;                   // unacknowledged data closes the connection after this time (TCP_USER_TIMEOUT)
 constexpr double DEFAULT_TOKENS = 800;                  // of a generation without token counts in its headers
@@ -161,14 +161,14 @@
     m_timer.cancel();
 }
 
-asio::awaitable<error_code> client_session::receive(steady_time until)
+asio::awaitable<error_code> client_session::receive(steady_time until, std::size_t most)
 {
     error_code error;
     startTimeout(until);
-    std::size_t got = co_await m_socket.async_read_some(m_buffer.prepare(READ_BYTES), into(error));
+    std::size_t got = co_await m_socket.async_read_some(m_buffer.prepare(most), into(error));
     stopTimeout();
     if (error == asio::error::operation_aborted && m_socket.is_open()) {
-        got = m_socket.read_some(m_buffer.prepare(READ_BYTES), error); // data may have arrived at the same moment
+        got = m_socket.read_some(m_buffer.prepare(most), error); // data may have arrived at the same moment
         error = error == asio::error::would_block ? asio::error::timed_out : error;
     }
     m_buffer.commit(got);
@@ -223,13 +223,15 @@
         }
         if (parser.is_header_done() && !headerDone) {
             headerDone = true;
-            until = std::chrono::steady_clock::now() + limits.idleTimeout;
             if (sameHeader(viewOf(parser.get()[http::field::expect]), "100-continue")) {
                 const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
                 co_await writeAll(interim);
             }
         }
-        error = co_await receive(until);
+        if (headerDone) { // a long body may take longer in all, as long as data arrives
+            until = std::chrono::steady_clock::now() + limits.idleTimeout;
+        }
+        error = co_await receive(until, headerDone ? BODY_READ_BYTES : READ_BYTES);
         if (error) {
             co_return error;
         }
@@ -255,9 +257,6 @@
     }
     m_state.counters.count("requests_unreadable", {{"reason", reason}});
     logLine(log_level::info, "request_unreadable", {{"reason", reason}, {"error", error.message()}});
-    if (status == 408) {
-        co_return;
-    }
     co_await rejectRequest(status, reason, "");
     // Reads on for a moment: closing a socket with unread data sends a TCP reset, which may discard the answer.
     const steady_time until = std::chrono::steady_clock::now() + REJECT_LINGER;
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -39,13 +39,15 @@
 private:
     using request_parser = http::request_parser<http::string_body>;
 
+    static constexpr std::size_t READ_BYTES = 4096;
+
     // Waits for the first data of the next request. False if the connection is to be closed.
     asio::awaitable<bool> awaitRequest();
     asio::awaitable<bool> readRequest(request_parser &parser);
     // Reads until the parser has a whole request.
     asio::awaitable<boost::system::error_code> readMessage(request_parser &parser, const client_limits &limits);
-    // Reads data into the buffer. The error is `timed_out` if there is none at `until`, or if cancelOperations() was called.
-    asio::awaitable<boost::system::error_code> receive(steady_time until);
+    // Reads data into the buffer, at most `most` bytes. The error is `timed_out` if there is none at `until`, or if cancelOperations() was called.
+    asio::awaitable<boost::system::error_code> receive(steady_time until, std::size_t most = READ_BYTES);
     // Cancels the operations of the socket at `until`, unless stopTimeout() is called before.
     void startTimeout(steady_time until);
     void stopTimeout();
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -92,3 +92,42 @@
     CHECK(statusOf(begun.readUntil("hello")) == 200);
     CHECK(statusOf(unsent.readUntil("hello")) == 200);
 }
+
+TEST_CASE("a request that is not received in time gets status 408", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    publishAndWait(site, 2, limits(500, 800));
+    raw_client head(site.front());
+    head.write("POST /once/ HTTP/1.1\r\nHost: h");
+    const std::string headAnswer = head.readUntil("\x01never", 4000);
+    CHECK(statusOf(headAnswer) == 408);
+    CHECK(headAnswer.find("Connection: close") != std::string::npos);
+    raw_client body(site.front());
+    const std::string whole = makeRequest("/once/", "id1", "", "0123456789");
+    body.write(whole.substr(0, whole.size() - 5));
+    CHECK(statusOf(body.readUntil("\x01never", 4000)) == 408);
+    for (const raw_request &seen : server.requests()) {
+        CHECK(seen.header("X-Chestnutgw-Request-Id") == "probe");
+    }
+}
+
+TEST_CASE("a body that arrives slowly but steadily is accepted", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    publishAndWait(site, 2, limits(500, 800));
+    raw_client client(site.front());
+    const std::string whole = makeRequest("/once/", "id1", "", "0123456789");
+    client.write(whole.substr(0, whole.size() - 5));
+    for (std::size_t at = whole.size() - 5; at < whole.size(); ++at) {
+        CHECK_FALSE(client.closedWithin(300));
+        client.write(whole.substr(at, 1));
+    }
+    CHECK(statusOf(client.readUntil("hello")) == 200);
+    CHECK(server.requests().back().body == "0123456789");
+}
