A stopping instance ends only once its client connections have ended

Callers whose request was still on its way when the process stopped, or that had sent one behind an answer that promised to keep the connection, found the connection closed. The process ended as soon as no request was being answered, 2.5 s after SIGTERM, whatever a connection was receiving, and it reset the connections that the listener had not accepted yet. A connection whose answer said 'Connection: keep-alive' was closed after this answer, with the next request in its buffer.

The listener now accepts what is waiting and closes once no connection is busy, and the process ends when all connections have ended or at the drain limit. After an answer that promised to keep the connection, the next request is awaited for 200 ms and answered with 'Connection: close'. The log line 'stopped' also counts connections that were still busy.

Both tests failed before: no answer to a request whose second half came 3.5 s after SIGTERM, and none to a request sent behind a stream (status 0). Both pass now; further signals during a shutdown ended no request before or after.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -20,6 +20,7 @@
 
 constexpr milliseconds UNKNOWN_CONFIG_RETRY{400}; // Retry-After: a starting instance has loaded its configuration by then
 constexpr milliseconds WRITE_TIMEOUT{5000};       // a client that accepts no data for this long is disconnected
+constexpr milliseconds CLOSING_WAIT{200};         // time for a request that the client may have sent before it learns that the connection closes
 constexpr milliseconds REJECT_LINGER{200};        // time to read on after an early rejection, so that a TCP reset does not discard the answer
 constexpr std::size_t BODY_READ_BYTES = 64 * 1024;
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024; // of further requests, buffered while one is being answered
@@ -125,7 +126,7 @@
 void client_session::closeWhenIdle()
 {
     m_closing = true;
-    if (!m_serving && !m_reading && m_buffer.size() == 0) {
+    if (!isBusy()) {
         cancelOperations();
     }
 }
@@ -179,7 +180,7 @@
 {
     const steady_time start = std::chrono::steady_clock::now();
     milliseconds limit = currentLimits().idleTimeout;
-    error_code error = co_await receive(m_closing ? start : start + limit);
+    error_code error = co_await receive(start + (m_closing ? CLOSING_WAIT : limit));
     // The client uses the limit in force, which a newer configuration may have raised meanwhile.
     while (error == asio::error::timed_out && !m_closing && currentLimits().idleTimeout > limit) {
         limit = currentLimits().idleTimeout;
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -27,8 +27,14 @@
 public:
     client_session(traffic_state &state, asio::ip::tcp::socket socket);
     asio::awaitable<void> run();
-    // Closes the connection at once if no request is being received or answered, else after the answer.
+    // Closes the connection as soon as no request is being received or answered, and the last answer has announced it or the client
+    // has had time for the request that it may already have sent.
     void closeWhenIdle();
+    // True while a request is being received or answered.
+    bool isBusy() const
+    {
+        return m_reading || m_serving || m_buffer.size() > 0;
+    }
 
     asio::awaitable<bool> respond(int status, const header_list &headers, const std::string &body) override;
     asio::awaitable<bool> beginStream(int status, const header_list &headers) override;
--- a/src/gateway/front_server.cpp
+++ b/src/gateway/front_server.cpp
@@ -100,14 +100,19 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        m_state.counters.count("client_connections");
-        auto session = std::make_shared<client_session>(m_state, std::move(socket));
-        if (m_sessions.size() > SESSION_SWEEP_THRESHOLD) {
-            std::erase_if(m_sessions, [](const auto &known) { return known.expired(); });
-        }
-        m_sessions.push_back(session);
-        spawnLogged(m_state.context, "client_session", runSession(std::move(session)));
+        startSession(std::move(socket));
+    }
+}
+
+void front_server::startSession(tcp::socket socket)
+{
+    m_state.counters.count("client_connections");
+    auto session = std::make_shared<client_session>(m_state, std::move(socket));
+    if (m_sessions.size() > SESSION_SWEEP_THRESHOLD) {
+        std::erase_if(m_sessions, [](const auto &known) { return known.expired(); });
     }
+    m_sessions.push_back(session);
+    spawnLogged(m_state.context, "client_session", runSession(std::move(session)));
 }
 
 asio::awaitable<void> front_server::acceptReadinessChecks()
@@ -161,4 +166,33 @@
     }
 }
 
+void front_server::stopAccepting()
+{
+    error_code error;
+    m_clientAcceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_state.context);
+        m_clientAcceptor.accept(socket, error);
+        if (!error) {
+            startSession(std::move(socket));
+        }
+    }
+    error_code ignored; // the process is ending
+    m_clientAcceptor.close(ignored);
+    closeIdle();
+}
+
+int front_server::openSessions() const
+{
+    return static_cast<int>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &known) { return !known.expired(); }));
+}
+
+int front_server::busySessions() const
+{
+    return static_cast<int>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &known) {
+        const auto session = known.lock();
+        return session && session->isBusy();
+    }));
+}
+
 }
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -22,9 +22,15 @@
     void beginDrain();
     // Closes idle client connections.
     void closeIdle();
+    // Accepts the connections that are waiting, closes the listener and closes idle client connections.
+    void stopAccepting();
+    // Number of client connections that are open, and of those on which a request is being received or answered.
+    int openSessions() const;
+    int busySessions() const;
 
 private:
     asio::awaitable<void> acceptClients();
+    void startSession(asio::ip::tcp::socket socket);
     asio::awaitable<void> acceptReadinessChecks();
     asio::awaitable<void> answerReadinessChecks(asio::ip::tcp::socket socket);
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -112,6 +112,7 @@
     std::set<std::string> m_members; // every instance ever registered; traffic thread only
     steady_time m_drainBegan{};
     bool m_idleClosed = false;
+    bool m_listenerClosed = false;
 };
 
 control_handler gateway_process::planeHandler()
@@ -255,7 +256,7 @@
 }
 
 // Called periodically while draining: requests are served until the load balancer sends no new ones and those in flight have
-// ended, at most until the drain limit.
+// ended, at most until the drain limit. The listener closes then, and the process ends once all client connections have ended.
 void gateway_process::drainStep()
 {
     const auto elapsed = std::chrono::steady_clock::now() - m_drainBegan;
@@ -263,9 +264,13 @@
         m_idleClosed = true;
         m_front.closeIdle();
     }
-    const bool done = m_idleClosed && m_state.openRequests == 0 && elapsed >= IDLE_CLOSE_DELAY + DRAIN_CHECK_INTERVAL * 4;
-    if (done || elapsed >= m_state.settings.drainLimit()) {
-        logLine(log_level::info, "stopped", {{"open_requests", std::to_string(m_state.openRequests)}});
+    if (!m_listenerClosed && elapsed >= IDLE_CLOSE_DELAY + DRAIN_CHECK_INTERVAL * 4 && m_front.busySessions() == 0) {
+        m_listenerClosed = true;
+        m_front.stopAccepting();
+    }
+    if ((m_listenerClosed && m_front.openSessions() == 0) || elapsed >= m_state.settings.drainLimit()) {
+        logLine(log_level::info, "stopped",
+                {{"open_requests", std::to_string(m_state.openRequests)}, {"busy_connections", std::to_string(m_front.busySessions())}});
         m_context.stop();
         return;
     }
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -131,3 +131,84 @@
     CHECK(statusOf(client.readUntil("hello")) == 200);
     CHECK(server.requests().back().body == "0123456789");
 }
+
+//-----------------------------------------------------------------------------
+// Shutdown
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a stopping instance answers a request that it is still receiving", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    publishAndWait(site, 2, limits(6000, 6000));
+    const std::string whole = makeRequest("/once/", "id1");
+    raw_client client(site.front());
+    client.write(whole.substr(0, whole.size() / 2));
+    CHECK_FALSE(client.closedWithin(100));
+    site.gateways[0]->signal(SIGTERM);
+    CHECK_FALSE(client.closedWithin(3500));
+    client.write(whole.substr(whole.size() / 2));
+    const std::string got = client.readUntil("hello");
+    CHECK(statusOf(got) == 200);
+    CHECK(got.find("Connection: close") != std::string::npos);
+    CHECK(site.gateways[0]->wait() == 0);
+}
+
+TEST_CASE("a request behind an answer that promised to keep the connection is answered by a stopping instance", "[failure]")
+{
+    std::atomic<bool> go = false;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/safe/") {
+            out.write(answer(in, "hello"));
+            return true;
+        }
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return go.load(); });
+        out.write(events(2, 3) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.addServer("i-2", "app", server.address());
+    site.start();
+    raw_client idle(site.front());
+    raw_client client(site.front());
+    client.write(makeRequest("/single/", "id1"));
+    CHECK(client.readUntil("piece1").find("Connection: keep-alive") != std::string::npos);
+    client.write(makeRequest("/safe/", "id2"));
+    site.gateways[0]->signal(SIGTERM);
+    CHECK(idle.closedWithin(5000));
+    go = true;
+    const std::string got = client.readUntil("hello");
+    CHECK(got.find("piece3") != std::string::npos);
+    CHECK(got.find("hello") != std::string::npos);
+    CHECK(got.find("Connection: close") != std::string::npos);
+    CHECK(site.gateways[0]->wait() == 0);
+}
+
+TEST_CASE("further signals during a shutdown end no request", "[failure]")
+{
+    std::atomic<bool> go = false;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return go.load(); });
+        out.write(events(2, 3) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.start();
+    raw_client idle(site.front());
+    raw_client client(site.front());
+    client.write(makeRequest("/single/", "id1"));
+    client.readUntil("piece1");
+    for (const int number : {SIGTERM, SIGHUP, SIGTERM, SIGHUP, SIGINT}) {
+        site.gateways[0]->signal(number);
+    }
+    CHECK(idle.closedWithin(5000));
+    go = true;
+    CHECK(client.readUntil("0\r\n\r\n", 7000).find("piece3") != std::string::npos);
+    CHECK(site.gateways[0]->wait() == 0);
+}
