--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -4,6 +4,8 @@
 
 #include "gateway/request_flow.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 namespace chestnut
@@ -25,8 +27,14 @@
 public:
     client_session(traffic_state &state, asio::ip::tcp::socket socket);
     asio::awaitable<void> run();
-    // Closes the connection at once if no request is being received or answered, else after the answer.
+    // Closes the connection as soon as no request is being received or answered, and the last answer has announced it or the client
+    // has had time for the request that it may already have sent.
     void closeWhenIdle();
+    // True while a request is being received or answered.
+    bool isBusy() const
+    {
+        return m_reading || m_serving || m_buffer.size() > 0;
+    }
 
     asio::awaitable<bool> respond(int status, const header_list &headers, const std::string &body) override;
     asio::awaitable<bool> beginStream(int status, const header_list &headers) override;
@@ -37,7 +45,20 @@
 private:
     using request_parser = http::request_parser<http::string_body>;
 
+    static constexpr std::size_t READ_BYTES = 4096;
+
+    // Waits for the first data of the next request. False if the connection is to be closed.
+    asio::awaitable<bool> awaitRequest();
     asio::awaitable<bool> readRequest(request_parser &parser);
+    // Reads until the parser has a whole request.
+    asio::awaitable<boost::system::error_code> readMessage(request_parser &parser, const client_limits &limits);
+    // Reads data into the buffer, at most `most` bytes. The error is `timed_out` if there is none at `until`, or if cancelOperations() was called.
+    asio::awaitable<boost::system::error_code> receive(steady_time until, std::size_t most = READ_BYTES);
+    // Cancels the operations of the socket at `until`, unless stopTimeout() is called before.
+    void startTimeout(steady_time until);
+    void stopTimeout();
+    void cancelOperations();
+    client_limits currentLimits() const;
     // Answers a request that cannot be parsed, if HTTP has a status for the error; the connection closes.
     asio::awaitable<void> rejectUnreadable(boost::system::error_code error);
     asio::awaitable<void> serve(client_message &message);
@@ -64,12 +85,15 @@
     std::string encodeHead(int status, const header_list &headers) const;
 
     traffic_state &m_state;
-    beast::tcp_stream m_stream;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;   // see startTimeout()
+    std::uint64_t m_timeouts = 0; // number of calls of startTimeout() and stopTimeout(), so that a stale timer event is ignored
     beast::flat_buffer m_buffer;
     std::shared_ptr<request_flow> m_flow; // in progress, else null
     std::uint64_t m_requestEpoch = 0;     // increased at the start and end of each request, so that a stale read event is ignored
     bool m_serving = false;               // a request is being answered
     bool m_reading = false;               // a request has been received in part
+    bool m_closing = false;               // closeWhenIdle() was called
     bool m_keepAlive = true;
     bool m_isHeadRequest = false; // the current request is a HEAD request, whose answer has no body
     bool m_clientGone = false;    // the client has closed the connection
--- /dev/null
+++ b/tests/gateway_connection_test.cpp
@@ -0,0 +1,214 @@
+// Tests how chestnutgw-gateway ends client connections: a request that was received completely gets an answer.
+
+#include "gateway_deployment.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+using namespace chestnut;
+using namespace chestnut::test;
+using nlohmann::json;
+
+namespace
+{
+
+const server_script ANSWER_AT_ONCE = [](raw_connection &out, const raw_request &in) {
+    out.write(in.target().starts_with("/s") && in.target() != "/safe/" ? streamHead(in) + events(0, 1) + "0\r\n\r\n" : answer(in, "hello"));
+    return true;
+};
+
+json limits(int headerMs, int idleMs, int bodyBytes = 5000)
+{
+    return {{"Limits", {{"HeaderBytes", 2000}, {"MaxBodyBytes", bodyBytes}, {"HeaderTimeoutMs", headerMs}, {"IdleTimeoutMs", idleMs}}}};
+}
+
+// Publishes a configuration and waits until the gateway uses it.
+void publishAndWait(deployment &site, int version, json changes)
+{
+    const std::string key = "key-v" + std::to_string(version);
+    changes["Tenants"] = {{{"Name", "t1"}, {"ApiKeys", {"key1", key}}}};
+    site.publish(version, changes);
+    REQUIRE(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/safe/", "probe", "", "", key))) == 200; }));
+}
+
+}
+
+//-----------------------------------------------------------------------------
+// Time limits
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a raised idle limit applies to connections that are already waiting", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    publishAndWait(site, 2, limits(700, 1500));
+    raw_client waiting(site.front());
+    waiting.write(makeRequest("/safe/", "id1"));
+    CHECK(statusOf(waiting.readUntil("hello")) == 200);
+    publishAndWait(site, 3, limits(700, 6000));
+    CHECK_FALSE(waiting.closedWithin(2500));
+    waiting.write(makeRequest("/once/", "id2"));
+    CHECK(countOf(waiting.readUntil("\x01never", 300), "hello") == 2);
+}
+
+TEST_CASE("a lowered idle limit does not close a connection that already waits under the old one", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    raw_client waiting(site.front());
+    waiting.write(makeRequest("/safe/", "id1"));
+    CHECK(statusOf(waiting.readUntil("hello")) == 200);
+    publishAndWait(site, 2, limits(700, 400));
+    CHECK_FALSE(waiting.closedWithin(2000));
+    waiting.write(makeRequest("/once/", "id2"));
+    CHECK(countOf(waiting.readUntil("\x01never", 300), "hello") == 2);
+    raw_client newer(site.front());
+    CHECK(newer.closedWithin(3000));
+}
+
+TEST_CASE("a request that arrived while the gateway was paused beyond a limit is answered", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    publishAndWait(site, 2, limits(600, 700));
+    const std::string whole = makeRequest("/once/", "id1");
+    const std::size_t half = whole.size() / 2;
+    raw_client unsent(site.front());
+    raw_client begun(site.front());
+    begun.write(whole.substr(0, half));
+    CHECK_FALSE(begun.closedWithin(100));
+    site.gateways[0]->signal(SIGSTOP);
+    unsent.write(makeRequest("/once/", "id2"));
+    begun.write(whole.substr(half));
+    CHECK_FALSE(begun.closedWithin(1200));
+    site.gateways[0]->signal(SIGCONT);
+    CHECK(statusOf(begun.readUntil("hello")) == 200);
+    CHECK(statusOf(unsent.readUntil("hello")) == 200);
+}
+
+TEST_CASE("a request that is not received in time gets status 408", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    publishAndWait(site, 2, limits(500, 800));
+    raw_client head(site.front());
+    head.write("POST /once/ HTTP/1.1\r\nHost: h");
+    const std::string headAnswer = head.readUntil("\x01never", 4000);
+    CHECK(statusOf(headAnswer) == 408);
+    CHECK(headAnswer.find("Connection: close") != std::string::npos);
+    raw_client body(site.front());
+    const std::string whole = makeRequest("/once/", "id1", "", "0123456789");
+    body.write(whole.substr(0, whole.size() - 5));
+    CHECK(statusOf(body.readUntil("\x01never", 4000)) == 408);
+    for (const raw_request &seen : server.requests()) {
+        CHECK(seen.header("X-Chestnutgw-Request-Id") == "probe");
+    }
+}
+
+TEST_CASE("a body that arrives slowly but steadily is accepted", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    publishAndWait(site, 2, limits(500, 800));
+    raw_client client(site.front());
+    const std::string whole = makeRequest("/once/", "id1", "", "0123456789");
+    client.write(whole.substr(0, whole.size() - 5));
+    for (std::size_t at = whole.size() - 5; at < whole.size(); ++at) {
+        CHECK_FALSE(client.closedWithin(300));
+        client.write(whole.substr(at, 1));
+    }
+    CHECK(statusOf(client.readUntil("hello")) == 200);
+    CHECK(server.requests().back().body == "0123456789");
+}
+
+//-----------------------------------------------------------------------------
+// Shutdown
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a stopping instance answers a request that it is still receiving", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    publishAndWait(site, 2, limits(6000, 6000));
+    const std::string whole = makeRequest("/once/", "id1");
+    raw_client client(site.front());
+    client.write(whole.substr(0, whole.size() / 2));
+    CHECK_FALSE(client.closedWithin(100));
+    site.gateways[0]->signal(SIGTERM);
+    CHECK_FALSE(client.closedWithin(3500));
+    client.write(whole.substr(whole.size() / 2));
+    const std::string got = client.readUntil("hello");
+    CHECK(statusOf(got) == 200);
+    CHECK(got.find("Connection: close") != std::string::npos);
+    CHECK(site.gateways[0]->wait() == 0);
+}
+
+TEST_CASE("a request behind an answer that promised to keep the connection is answered by a stopping instance", "[failure]")
+{
+    std::atomic<bool> go = false;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/safe/") {
+            out.write(answer(in, "hello"));
+            return true;
+        }
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return go.load(); });
+        out.write(events(2, 3) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.addServer("i-2", "app", server.address());
+    site.start();
+    raw_client idle(site.front());
+    raw_client client(site.front());
+    client.write(makeRequest("/single/", "id1"));
+    CHECK(client.readUntil("piece1").find("Connection: keep-alive") != std::string::npos);
+    client.write(makeRequest("/safe/", "id2"));
+    site.gateways[0]->signal(SIGTERM);
+    CHECK(idle.closedWithin(5000));
+    go = true;
+    const std::string got = client.readUntil("hello");
+    CHECK(got.find("piece3") != std::string::npos);
+    CHECK(got.find("hello") != std::string::npos);
+    CHECK(got.find("Connection: close") != std::string::npos);
+    CHECK(site.gateways[0]->wait() == 0);
+}
+
+TEST_CASE("further signals during a shutdown end no request", "[failure]")
+{
+    std::atomic<bool> go = false;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return go.load(); });
+        out.write(events(2, 3) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.start();
+    raw_client idle(site.front());
+    raw_client client(site.front());
+    client.write(makeRequest("/single/", "id1"));
+    client.readUntil("piece1");
+    for (const int number : {SIGTERM, SIGHUP, SIGTERM, SIGHUP, SIGINT}) {
+        site.gateways[0]->signal(number);
+    }
+    CHECK(idle.closedWithin(5000));
+    go = true;
+    CHECK(client.readUntil("0\r\n\r\n", 7000).find("piece3") != std::string::npos);
+    CHECK(site.gateways[0]->wait() == 0);
+}
