A call that may have run is never reported as not_run

Callers of a repeatable service got verdict not_run although an earlier send had reached a replica: the replica stayed silent until the deadline, or broke off, and the next step found the deadline passed or every other replica refusing. The verdict was taken from the last step alone.

The call now remembers that a send may have run. Test: "a repeatable call that a silent replica may have run is not reported as not_run", two variants, both answered not_run before.

--- a/src/entry/service_driver.cpp
+++ b/src/entry/service_driver.cpp
@@ -46,6 +46,7 @@
     steady_time sendBefore;      // a claimed call may not be sent after this time
     std::set<std::string> tried; // addresses of replicas the call was sent to
     int sends = 0;
+    bool mayHaveRun = false; // at the replica of an earlier send
     bool closed = false;
 };
 
@@ -167,7 +168,9 @@
     const steady_time now = std::chrono::steady_clock::now();
     const service_replica *chosen = chooseReplica(state);
     if (chosen == nullptr || state->sends >= MAX_SENDS || now >= state->deadline) {
-        finishCall(state, verdict::not_run, 503, {}, "no replica of the service could be reached");
+        const bool mayHaveRun = state->mayHaveRun;
+        finishCall(state, mayHaveRun ? verdict::may_have_run : verdict::not_run, 503, {},
+                   mayHaveRun ? "no replica of the service answered" : "no replica of the service could be reached");
         return;
     }
     if (state->ticket != 0 && now > state->sendBefore) {
@@ -220,6 +223,7 @@
         finishCall(state, verdict::may_have_run, 504, {}, "the service did not answer; the call may have run");
         return;
     }
+    state->mayHaveRun = state->mayHaveRun || !notRun;
     bool allowed = true;
     if (!notRun) {
         const std::lock_guard lock(m_shared.budgetMutex);
@@ -230,11 +234,6 @@
         finishCall(state, verdict::may_have_run, 503, {}, "the service did not answer");
         return;
     }
-    const bool noReplicaLeft = chooseReplica(state) == nullptr;
-    if (noReplicaLeft && !notRun) {
-        finishCall(state, verdict::may_have_run, 503, {}, "no replica of the service answered");
-        return;
-    }
     send(state);
 }
 
