Each caller that publishes a change gets an answer

An operator who repeated a change with its id while the log was silent, as the answer 504 advises, took the place of the first caller, whose request was then never answered: the pending change held one callback by id.

A pending change now keeps all its callers, each with its own deadline. Test: "two requests with the id of one change are both answered while the log is silent"; before, one of the two had no answer after 20 s.

--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -2,6 +2,9 @@
 
 #include "kernel/log.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace chestnut
 {
 
@@ -119,8 +122,12 @@
         return;
     }
     const steady_time deadline = std::chrono::steady_clock::now() + timeout;
-    m_pending[id] = {std::move(change), deadline, std::move(done)};
-    tryAppend(id);
+    const auto [pending, added] = m_pending.try_emplace(id);
+    pending->second.callers.push_back({deadline, std::move(done)});
+    if (added) {
+        pending->second.change = std::move(change);
+        tryAppend(id);
+    }
 }
 
 void config_service::tryAppend(const std::string &id)
@@ -129,10 +136,19 @@
     if (found == m_pending.end()) {
         return;
     }
-    if (std::chrono::steady_clock::now() >= found->second.deadline) {
-        const auto done = std::move(found->second.done);
+    const steady_time now = std::chrono::steady_clock::now();
+    std::vector<waiting_caller> &callers = found->second.callers;
+    const auto late = std::stable_partition(callers.begin(), callers.end(), [now](const waiting_caller &one) { return now < one.deadline; });
+    const std::vector<waiting_caller> expired(std::make_move_iterator(late), std::make_move_iterator(callers.end()));
+    callers.erase(late, callers.end());
+    const bool wanted = !callers.empty();
+    if (!wanted) {
         m_pending.erase(found);
-        done(std::nullopt);
+    }
+    for (const waiting_caller &one : expired) {
+        one.done(std::nullopt);
+    }
+    if (!wanted) {
         return;
     }
     m_relayed.append(CONFIG_STREAM, {encodeChange(found->second.change)}, [this, id](const append_result &result) {
@@ -151,9 +167,11 @@
             ++at;
             continue;
         }
-        const auto done = std::move(at->second.done);
+        const std::vector<waiting_caller> callers = std::move(at->second.callers);
         at = m_pending.erase(at);
-        done(result);
+        for (const waiting_caller &one : callers) {
+            one.done(result);
+        }
     }
 }
 
--- a/src/entry/config_service.h
+++ b/src/entry/config_service.h
@@ -40,12 +40,16 @@
     milliseconds age() const;
 
 private:
-    struct pending_change
+    struct waiting_caller
     {
-        config_change change;
         steady_time deadline;
         std::function<void(std::optional<change_result>)> done;
     };
+    struct pending_change
+    {
+        config_change change;
+        std::vector<waiting_caller> callers; // all that published this id, none is left out
+    };
 
     void applyEntries(const std::vector<log_entry> &entries);
     void startRebuild(log_offset oldest);
--- a/tests/entry_silence_test.cpp
+++ b/tests/entry_silence_test.cpp
@@ -1,4 +1,4 @@
-// Tests chestnutgw-entry with sound partners that fall silent for about a second and then go on. Sections: services.
+// Tests chestnutgw-entry with sound partners that fall silent for about a second and then go on. Sections: services, operators.
 
 #include "cluster.h"
 #include "scripted_server.h"
@@ -112,3 +112,29 @@
     const service_site site({&first, &second}, 600);
     CHECK(site.call().verdictHeader == "not_run");
 }
+
+//-----------------------------------------------------------------------------
+// Operators
+//-----------------------------------------------------------------------------
+
+TEST_CASE("two requests with the id of one change are both answered while the log is silent", "[failure]")
+{
+    cluster::options options;
+    options.entries = 1;
+    options.enginesPerStage = 0;
+    cluster all(options);
+    all.publish();
+    all.log->setFaults({{"stall", true}});
+    http_request change;
+    change.method = "POST";
+    change.url = all.url(0) + "/operator/sheets?id=same&wait_ms=30000";
+    change.body = all.sheet() + "model,m2,,,,,8,,,,,,,,\n";
+    change.totalTimeout = milliseconds(20'000);
+    auto answers = sendInBackground({change, change});
+    CHECK(eventually([&] { return all.status(0)["log_reachable"] == false; }));
+    all.log->setFaults({{"stall", false}});
+    for (const http_result &one : answers.get()) {
+        INFO(one.error << " " << one.body);
+        CHECK(one.status == 200);
+    }
+}
