A delay of an event loop is not taken for silence of a partner

After a busy time on an event loop, transfers whose answers lay in the socket failed by their time limit: timers ran before the sockets were polled again, and libcurl checks its total timeout before it reads. Load reports, reads and appends of the log and calls of services are such transfers.

What has arrived is handled before the timers, which run by the time of that poll, and the total timeout is a timer of the loop. Test: "an answer that arrived while the loop was busy counts, although its timeout has passed", failed before for the total and for the idle timeout. Connect timeouts stay with libcurl.

--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -47,6 +47,7 @@
     http_result result;            // filled while the transfer runs
     steady_time lastByte;          // time of the last received byte
     timer_id idleTimer = 0;        // enforces request.idleTimeout
+    timer_id totalTimer = 0;       // enforces request.totalTimeout
     bool aborted = false;          // callbacks are suppressed; removed at the end of the loop iteration
 
     ~transfer()
@@ -147,6 +148,7 @@
     std::multimap<steady_time, std::pair<timer_id, std::function<void()>>> m_timers;
     std::unordered_map<timer_id, steady_time> m_timerTimes;
     std::uint64_t m_nextId = 1;
+    steady_time m_polledAt = std::chrono::steady_clock::now(); // what had arrived by then has been handled when timers run
     timer_id m_curlTimer = 0;
     bool m_curlDue = false;
     std::unordered_map<transfer_id, std::unique_ptr<transfer>> m_transfers;
@@ -256,7 +258,6 @@
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_SECONDS);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connectTimeout.count()));
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.totalTimeout.count()));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.singleUse ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.singleUse ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, writeBody);
@@ -282,6 +283,10 @@
     if (placed.request.idleTimeout.count() > 0) {
         checkIdleTimeout(id);
     }
+    if (placed.request.totalTimeout.count() > 0) {
+        // A timer of the loop, because libcurl checks its own timeouts before it reads what has arrived.
+        placed.totalTimer = after(placed.request.totalTimeout, [this, id] { finish(id, CURLE_OPERATION_TIMEDOUT); });
+    }
     return id;
 }
 
@@ -293,13 +298,12 @@
     }
     transfer &one = *found->second;
     const auto deadline = one.lastByte + one.request.idleTimeout;
-    const auto now = std::chrono::steady_clock::now();
-    if (now >= deadline) {
+    if (m_polledAt >= deadline) {
         one.idleTimer = 0;
         finish(id, CURLE_OPERATION_TIMEDOUT);
         return;
     }
-    one.idleTimer = after(std::chrono::ceil<milliseconds>(deadline - now), [this, id] { checkIdleTimeout(id); });
+    one.idleTimer = after(std::chrono::ceil<milliseconds>(deadline - m_polledAt), [this, id] { checkIdleTimeout(id); });
 }
 
 // May be called inside a callback of the same transfer, where libcurl forbids removing the handle. The removal is therefore
@@ -311,6 +315,7 @@
         return;
     }
     cancel(found->second->idleTimer);
+    cancel(found->second->totalTimer);
     found->second->aborted = true;
     m_aborted.push_back(std::move(found->second));
     m_transfers.erase(found);
@@ -334,6 +339,7 @@
     const std::unique_ptr<transfer> one = std::move(found->second);
     m_transfers.erase(found);
     cancel(one->idleTimer);
+    cancel(one->totalTimer);
     one->result.status = static_cast<int>(statusOf(one->easy));
     curl_off_t connectTime = 0;
     curl_easy_getinfo(one->easy, CURLINFO_CONNECT_TIME_T, &connectTime);
@@ -413,10 +419,10 @@
     m_timerTimes.erase(found);
 }
 
+// Runs the timers that were due when the sockets were last polled.
 void event_loop::implementation::runTimers()
 {
-    const steady_time now = std::chrono::steady_clock::now();
-    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+    while (!m_timers.empty() && m_timers.begin()->first <= m_polledAt) {
         auto [id, task] = std::move(m_timers.begin()->second);
         m_timers.erase(m_timers.begin());
         m_timerTimes.erase(id);
@@ -454,6 +460,7 @@
     while (!m_stopping) {
         const timespec wait = waitTime();
         const int count = epoll_pwait2(m_epoll.get(), events.data(), MAX_EVENTS, &wait, nullptr);
+        m_polledAt = std::chrono::steady_clock::now();
         for (int i = 0; i < count; ++i) {
             const epoll_event &event = events[static_cast<std::size_t>(i)];
             if (event.data.fd == m_wakeup.get()) {
@@ -467,13 +474,15 @@
             action |= (event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
             curl_multi_socket_action(m_multi, event.data.fd, action, &running);
         }
-        runTasks();
+        // What has arrived is handled before the timers, so that a delay of this thread is not taken for silence of a partner.
+        collectFinished();
         runTimers();
         if (m_curlDue) {
             m_curlDue = false;
             curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+            collectFinished();
         }
-        collectFinished();
+        runTasks();
         removeAborted();
     }
 }
--- a/tests/kernel_test.cpp
+++ b/tests/kernel_test.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 #include <future>
+#include <thread>
 
 using namespace chestnut;
 
@@ -73,6 +74,50 @@
     CHECK(result.connected);
 }
 
+TEST_CASE("an answer that arrived while the loop was busy counts, although its timeout has passed", "[unit]")
+{
+    const bool idle = GENERATE(false, true);
+    constexpr milliseconds TIMEOUT{100};
+    std::promise<std::shared_ptr<http_call>> received;
+    http_server server({}, [&](const std::shared_ptr<http_call> &call) { received.set_value(call); });
+    event_loop loop("test");
+    std::promise<http_result> done;
+    loop.post([&] {
+        http_request request;
+        request.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/";
+        (idle ? request.idleTimeout : request.totalTimeout) = TIMEOUT;
+        loop.start(request, {{}, [&](http_result result) { done.set_value(std::move(result)); }});
+    });
+    const std::shared_ptr<http_call> call = received.get_future().get();
+    loop.post([&] {
+        call->respond({});
+        const steady_time end = std::chrono::steady_clock::now() + TIMEOUT * 2;
+        while (std::chrono::steady_clock::now() < end || server.openCalls() > 0) {
+            std::this_thread::yield();
+        }
+    });
+    const http_result result = done.get_future().get();
+    INFO(result.error);
+    CHECK(result.ok());
+}
+
+TEST_CASE("a transfer fails after its total timeout", "[unit]")
+{
+    std::vector<std::shared_ptr<http_call>> held;
+    http_server server({}, [&](const std::shared_ptr<http_call> &call) { held.push_back(call); });
+    event_loop loop("test");
+    std::promise<http_result> done;
+    loop.post([&] {
+        http_request request;
+        request.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/";
+        request.totalTimeout = milliseconds(50);
+        loop.start(request, {{}, [&](http_result result) { done.set_value(std::move(result)); }});
+    });
+    const http_result result = done.get_future().get();
+    CHECK(result.timedOut);
+    CHECK(result.connected);
+}
+
 TEST_CASE("base64 and SHA-256 match published test values", "[unit]")
 {
     CHECK(encodeBase64("light work.") == "bGlnaHQgd29yay4=");
