Reproduction: the gateway ends when a silent server goes on as its second attempt is refused

Callers would lose every connection of the instance: the process ends with signal 11. Cause: startAttempt() only posts the coroutine openAttempt(); if the current server's data is handled before that coroutine begins, dropSecond() has reset the attempt's exchange, and openAttempt() uses a null pointer. The test lets the refusal of the second server and the data of the first be read in one turn of the loop, so that a third attempt is started and dropped before it begins.

--- /dev/null
+++ b/tests/gateway_attempt_race_test.cpp
@@ -0,0 +1,75 @@
+// Tests what happens if the server of a stream goes on in the moment in which its second attempt starts or fails.
+
+#include "gateway_deployment.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace chestnut;
+using namespace chestnut::test;
+
+namespace
+{
+
+constexpr int LAST_EVENT = 3;
+
+bool isWholeStream(const std::string &got, int last = LAST_EVENT)
+{
+    bool whole = statusOf(got) == 200 && got.ends_with("0\r\n\r\n");
+    for (int id = 0; id <= last; ++id) {
+        whole = whole && countOf(got, "data: piece" + std::to_string(id) + "\n") == 1;
+    }
+    return whole;
+}
+
+}
+
+TEST_CASE("a server that goes on as its second attempt is refused does not end the process", "[failure]")
+{
+    std::atomic<int> asked = 0;
+    std::atomic<bool> stopped = false;
+    std::atomic<bool> refused = false;
+    std::atomic<bool> resumed = false;
+    const std::string half = events(2, 2).substr(0, 8); // chunk size and the beginning of the event
+    // The first server asked falls silent, the second one refuses, the third one answers.
+    const server_script script = [&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.waitForClose(4000); // no answer
+            return false;
+        }
+        switch (asked++) {
+        case 0:
+            out.write(streamHead(in) + events(0, 1) + half);
+            eventually([&] { return refused.load(); });
+            out.write(events(2, 2).substr(half.size()) + events(LAST_EVENT, LAST_EVENT) + "0\r\n\r\n");
+            resumed = true;
+            return true;
+        case 1:
+            eventually([&] { return stopped.load(); });
+            out.write(notRun(in));
+            refused = true;
+            return true;
+        default:
+            out.write(streamHead(in) + events(firstEventOf(in), LAST_EVENT) + "0\r\n\r\n");
+            return true;
+        }
+    };
+    scripted_server one(script);
+    scripted_server two(script);
+    scripted_server three(script);
+    deployment site;
+    site.addServer("i-1", "lm", one.address(), 0, 4);
+    site.addServer("i-2", "lm", two.address(), 0, 4);
+    site.addServer("i-3", "lm", three.address(), 0, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "id1"));
+    client.readUntil("piece1");
+    REQUIRE(eventually([&] { return asked == 2; }));
+    site.gateways[0]->signal(SIGSTOP); // so that the refusal and the next event are read in the same turn
+    stopped = true;
+    REQUIRE(eventually([&] { return resumed.load(); }));
+    site.gateways[0]->signal(SIGCONT);
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(statusOf(exchange(site.front(), makeRequest("/stream/", "id2"))) == 200);
+}
