Reproduction: a second attempt for a stream that went on while a repath was ordered

Callers would see nothing at once, but another server runs a stream that is not silent, a repeat is spent, and the sound server is given up if the other answers between two events. Cause: after the report data that came meanwhile ends the inquiry, but replaceStage(), which waits up to 400 ms for each order, does not look at it before it starts a second attempt.

--- a/tests/gateway_attempt_race_test.cpp
+++ b/tests/gateway_attempt_race_test.cpp
@@ -22,6 +22,11 @@
     return whole;
 }
 
+std::string refusedOrder()
+{
+    return "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}";
+}
+
 }
 
 TEST_CASE("a server that goes on as its second attempt is refused does not end the process", "[failure]")
@@ -73,3 +78,55 @@
     CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
     CHECK(statusOf(exchange(site.front(), makeRequest("/stream/", "id2"))) == 200);
 }
+
+TEST_CASE("a stream that goes on while a repath is refused gets no second attempt", "[failure]")
+{
+    constexpr int LAST = 20;
+    std::atomic<bool> ordered = false;
+    std::atomic<bool> resumed = false;
+    const server_script idle = [](raw_connection &out, const raw_request &in) {
+        out.write(report(in));
+        return true;
+    };
+    scripted_server lost(idle);
+    scripted_server spare(idle);
+    const std::string lostAddress = lost.address();
+    scripted_server first([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.write(report(in, "id1", lostAddress));
+            return true;
+        }
+        if (in.target() == "/order") {
+            ordered = true;
+            eventually([&] { return resumed.load(); });
+            out.waitForClose(100); // the event reaches the gateway meanwhile
+            out.write(refusedOrder());
+            return true;
+        }
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return ordered.load(); });
+        for (int id = 2; id <= LAST; ++id) {
+            out.write(events(id, id));
+            resumed = true;
+            out.waitForClose(20);
+        }
+        out.write("0\r\n\r\n");
+        return true;
+    });
+    scripted_server other([](raw_connection &out, const raw_request &in) {
+        out.write(in.target() == "/report" ? report(in) : streamHead(in) + events(firstEventOf(in), LAST) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", first.address(), 0, 2);
+    site.addServer("i-2", "lm", lost.address(), 2, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "id1"));
+    client.readUntil("piece1");
+    site.addServer("i-3", "lm", spare.address(), 2, 4);
+    site.addServer("i-4", "lm", other.address(), 0, 4);
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST));
+    CHECK(ordered);
+    CHECK(other.count() == 0);
+}
