Reproduction: a request runs twice at a time at one first server

Callers would see nothing at once. Servers see the same request id twice at a time, so that a report of a stalled request and an order to repath it are ambiguous, and its memory is used twice. Cause: a second attempt that is started for a lost later stage avoids that stage only and may go through the first server of the attempt that still runs; before that one had been aborted.

--- a/tests/gateway_attempt_race_test.cpp
+++ b/tests/gateway_attempt_race_test.cpp
@@ -130,3 +130,49 @@
     CHECK(ordered);
     CHECK(other.count() == 0);
 }
+
+TEST_CASE("a second attempt does not run at the first server of the current one", "[failure]")
+{
+    std::atomic<int> running = 0;
+    std::atomic<int> mostRunning = 0;
+    const server_script idle = [](raw_connection &out, const raw_request &in) {
+        out.write(report(in));
+        return true;
+    };
+    scripted_server lost(idle);
+    scripted_server spare(idle);
+    const std::string lostAddress = lost.address();
+    scripted_server first([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.write(report(in, "id1", lostAddress));
+            return true;
+        }
+        if (in.target() == "/order") {
+            out.write(refusedOrder());
+            return true;
+        }
+        const int now = ++running;
+        mostRunning = std::max(mostRunning.load(), now);
+        const int from = firstEventOf(in);
+        if (from == 0) {
+            out.write(streamHead(in) + events(0, 1));
+        }
+        const bool closed = out.waitForClose(1300);
+        --running;
+        if (closed) {
+            return false;
+        }
+        out.write((from == 0 ? "" : streamHead(in)) + events(std::max(2, from), LAST_EVENT) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", first.address(), 0, 2);
+    site.addServer("i-2", "lm", lost.address(), 2, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "id1"));
+    client.readUntil("piece1");
+    site.addServer("i-3", "lm", spare.address(), 2, 4);
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(mostRunning == 1);
+}
