An attempt that is dropped before it begins does not end the process

Callers would lose every connection of an instance: signal 11. Cause: startAttempt() only posts the opening of an attempt. If the current server goes on before that begins, the second attempt is dropped, its exchange is gone, and the opening used it. Reached when the refusal of one second attempt and the data of the first server are read in one turn of the loop.

Change: the opening owns its exchange and returns at once if its attempt has ended. The line attempt_replaced names the cause of a takeover, which no longer overwrites how the last attempt ended. Evidence: "a server that goes on as its second attempt is refused does not end the process" ended with status 139 in each run before, and passes.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -125,13 +125,15 @@
     ++m_pathsTried;
     m_outcome.servers += (m_outcome.servers.empty() ? "" : ",") + path.front().server.text;
     auto attempt = std::make_shared<stream_attempt>(m_state, path, m_facts.tokens, makeExchange(path.front().address));
-    spawnLogged(m_state.context, "attempt_opening", openAttempt(shared_from_this(), attempt));
+    spawnLogged(m_state.context, "attempt_opening", openAttempt(shared_from_this(), attempt, attempt->exchange));
     return attempt;
 }
 
-asio::awaitable<void> generation_flow::openAttempt(std::shared_ptr<generation_flow>, attempt_ptr attempt)
+asio::awaitable<void> generation_flow::openAttempt(std::shared_ptr<generation_flow>, attempt_ptr attempt, std::shared_ptr<upstream_exchange> exchange)
 {
-    const std::shared_ptr<upstream_exchange> exchange = attempt->exchange;
+    if (attempt->ended) { // before this coroutine began
+        co_return;
+    }
     opening_state state = co_await sendRequest(*attempt, *exchange);
     if (state == opening_state::pending) {
         state = co_await readOpening(*attempt, *exchange);
@@ -272,8 +274,9 @@
 void generation_flow::settleSecond()
 {
     if (m_second->opening == opening_state::open) {
-        m_outcome.lastEnd = m_secondCause;
-        m_outcome.silence = m_current->silence(std::chrono::steady_clock::now());
+        const milliseconds silence = m_current->silence(std::chrono::steady_clock::now());
+        logLine(log_level::info, "attempt_replaced",
+                {{"request", m_facts.id}, {"cause", toText(m_secondCause)}, {"silent_ms", std::to_string(silence.count())}});
         m_current->replaced = true;
         m_current->exchange->abort();
         return;
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -37,7 +37,7 @@
     asio::awaitable<std::optional<std::vector<path_stage>>> waitForPath();
     attempt_ptr startAttempt(const std::vector<path_stage> &path);
     // Sends the request and reads the head and the first piece of the answer. `self` keeps the flow alive while this coroutine runs.
-    asio::awaitable<void> openAttempt(std::shared_ptr<generation_flow> self, attempt_ptr attempt);
+    asio::awaitable<void> openAttempt(std::shared_ptr<generation_flow> self, attempt_ptr attempt, std::shared_ptr<upstream_exchange> exchange);
     // `pending` if the request was sent.
     asio::awaitable<opening_state> sendRequest(stream_attempt &attempt, upstream_exchange &exchange);
     asio::awaitable<opening_state> readOpening(stream_attempt &attempt, upstream_exchange &exchange);
