A stream that goes on while a repath is ordered gets no second attempt

Another server ran a stream that was not silent, a repeat was spent, and a sound server could be given up between two events. Change: an order that was not carried out leads to nothing if data came meanwhile. Evidence: "a stream that goes on while a repath is refused gets no second attempt" failed before (the other server was asked once) and passes.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -497,6 +497,7 @@
 
 asio::awaitable<void> generation_flow::replaceStage(attempt_ptr attempt, std::string lostAddress)
 {
+    const steady_time lastData = attempt->lastData;
     for (int tries = 0; tries < MAX_REPATHS; ++tries) {
         const auto path = pathAround(*attempt, lostAddress);
         if (!path) {
@@ -527,6 +528,9 @@
             attempt->load->move(*path);
             co_return;
         }
+        if (attempt->lastData != lastData) {
+            co_return; // the stream goes on
+        }
         if (!ordered || ordered->faulty.empty()) {
             break;
         }
