A second attempt never runs at the first server of the current one

A server saw one request id twice at a time: its report and an order to repath could not tell the attempts apart, and the request took its memory twice. Cause: a second attempt for a lost later stage avoided that stage only. Change: it excludes the first server of the attempt that still runs. Evidence: "a second attempt does not run at the first server of the current one" failed before (two runs at a time) and passes. If no other first server is left, the stream waits for its current attempt.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -252,9 +252,12 @@
     if (!m_current || m_second || !mayResume() || m_pathsTried >= MAX_PATHS_TRIED || m_facts.deadline - now < MIN_ATTEMPT_TIME) {
         return false;
     }
-    auto path = m_state.choosePath(*service(), m_facts.tokens, m_avoided, false, now);
+    // A server can't tell two attempts with the same request id apart.
+    std::vector<std::string> excluded = m_avoided;
+    excluded.push_back(m_current->first().address);
+    auto path = m_state.choosePath(*service(), m_facts.tokens, excluded, false, now);
     if (!path && !needsCapacity && m_streamBegan) {
-        path = m_state.choosePath(*service(), m_facts.tokens, m_avoided, true, now);
+        path = m_state.choosePath(*service(), m_facts.tokens, excluded, true, now);
     }
     if (!path || !m_state.budgetOf(m_facts.service).takeRepeat(now)) {
         return false;
@@ -549,15 +552,7 @@
 
 bool generation_flow::leaveQueue(const attempt_ptr &attempt)
 {
-    if (attempt != m_current) {
-        return false;
-    }
-    m_avoided.push_back(attempt->first().address);
-    if (startSecond(attempt_end::queued, true)) {
-        return true;
-    }
-    m_avoided.pop_back();
-    return false;
+    return attempt == m_current && startSecond(attempt_end::queued, true);
 }
 
 std::optional<std::vector<path_stage>> generation_flow::pathAround(const stream_attempt &attempt, const std::string &lostAddress) const
