A plain request keeps its silent server while another one is asked

Callers of safe routes got 502, 504 or another server's failure although their server was sound and would have answered a second later.

Cause: after two latency objectives of silence the flow aborted the exchange (tryDeadline) and only then looked for another server. That one could refuse or fail, there could be none, or the repeat budget, which was read for each request at the same moment, could be used up: a live exchange was given up before its replacement was certain.

Change: attempts run beside each other. When all attempts of a request are silent, another server is asked while they are kept, if the route's limit leaves an attempt even if all those in progress are executed, and if takeRepeat() grants it (no await lies between the grant and the start). The first whole answer is forwarded and the other exchanges are aborted before that. A refusal, a failure or a 5xx ends its own attempt only; without an attempt in progress or possible, the error answer goes out at once, a server's own one first. While no other server is available it is looked for again every 150 ms. The health state learns of the silence when the second server is looked for, as before; it is cleared when the silent server answers.

--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -1,7 +1,13 @@
 #include "gateway/plain_flow.h"
 
+#include "gateway/spawn.h"
 #include "kernel/scope.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
 namespace chestnut
 {
 
@@ -13,153 +19,268 @@
 constexpr milliseconds MIN_TRY_TIME{20};   // no server is tried with less time left
 constexpr milliseconds REFUSED_RETRY{250}; // Retry-After if no server could take the request: slots are free again after a few answers
 constexpr milliseconds MIN_TRY_TIMEOUT{150};
-constexpr int TRY_TIMEOUT_OBJECTIVES = 2; // a server that has not answered after this many latency objectives is given up
-constexpr int MAX_UNSENT_TRIES = 3;       // servers that were unreachable or did not execute the request
+constexpr milliseconds RECHECK_INTERVAL{150}; // between two looks for another server while there is none
+constexpr int TRY_TIMEOUT_OBJECTIVES = 2;     // another server is asked too after this many latency objectives of silence
+constexpr int MAX_UNSENT_TRIES = 3;           // servers that were unreachable or did not execute the request
 
 }
 
 asio::awaitable<void> plain_flow::run()
 {
-    std::vector<std::string> tried;
-    repeat_budget &budget = m_state.budgetOf(m_facts.service);
-    budget.countFirstSend(std::chrono::steady_clock::now());
-    int unsent = 0;
-    const char *reason = "no_server";
-    while (!m_abandoned) {
+    m_state.budgetOf(m_facts.service).countFirstSend(std::chrono::steady_clock::now());
+    const scope_guard stop([this] { stopAttempts(); });
+    while (!m_abandoned && !m_answer) {
         const steady_time now = std::chrono::steady_clock::now();
-        const auto servers = m_state.serversByLoad(m_facts.service, tried, now);
-        const bool late = m_facts.deadline - now < MIN_TRY_TIME;
-        const bool repeatAllowed = tried.empty() || budget.left(now) >= 1;
-        if (servers.empty() || late || !repeatAllowed || unsent > MAX_UNSENT_TRIES) {
-            reason = late ? "deadline" : servers.empty() ? reason : !repeatAllowed ? "repeat_budget" : reason;
-            break;
-        }
-        if (!tried.empty()) {
-            budget.takeRepeat(now);
-        }
-        const listed_server server = *servers.front();
-        tried.push_back(server.address);
-        m_outcome.servers += (m_outcome.servers.empty() ? "" : ",") + server.id.text;
-        const try_result result = co_await tryServer(server);
-        if (m_abandoned) {
-            co_return;
-        }
-        if (result == try_result::answered && !(m_head.status >= 500 && mayRepeat())) {
-            co_await forwardAnswer(m_head, m_body);
-            co_return;
-        }
-        if (result == try_result::not_run) {
-            ++unsent;
-            reason = "not_run";
+        if (allSilent(now) && startAttempt(now)) {
             continue;
         }
-        reason = result == try_result::answered ? "server_error" : "answer_lost";
-        if (!mayRepeat()) {
+        if (m_running.empty()) {
             break;
         }
+        boost::system::error_code ignored; // cancelled when an attempt has ended
+        m_changed.expires_at(nextCheck(now));
+        co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
+    stopAttempts();
     if (m_abandoned) {
-        co_return;
-    }
-    if (m_outcome.runs == 0) {
-        if (m_hasRefusal && m_head.status != 421) {
-            m_outcome.reason = "server_refused";
-            co_await forwardAnswer(m_head, m_body);
-            co_return;
-        }
-        co_await respondWithError(503, reason, REFUSED_RETRY);
-        co_return;
-    }
-    if (m_hasAnswer) {
-        co_await forwardAnswer(m_head, m_body); // the last server's own error answer
-        co_return;
+        m_outcome.lastEnd = attempt_end::client_left;
+    } else if (m_answer) {
+        co_await forwardAnswer(m_answer->head, m_answer->body);
+    } else {
+        co_await finishFailed();
     }
-    co_await respondWithError(overdue() ? 504 : 502, reason);
 }
 
-bool plain_flow::mayRepeat() const
+asio::awaitable<void> plain_flow::finishFailed()
 {
-    return m_facts.matched->kind == route_kind::safe && m_outcome.runs < m_facts.matched->maxAttempts;
+    if (m_outcome.runs == 0 && m_refusal && m_refusal->head.status != 421) {
+        m_outcome.reason = "server_refused";
+        co_await forwardAnswer(m_refusal->head, m_refusal->body);
+    } else if (m_outcome.runs == 0) {
+        co_await respondWithError(503, m_reason, REFUSED_RETRY);
+    } else if (m_errorAnswer) {
+        co_await forwardAnswer(m_errorAnswer->head, m_errorAnswer->body);
+    } else {
+        co_await respondWithError(overdue() ? 504 : 502, m_reason);
+    }
 }
 
-steady_time plain_flow::tryDeadline(steady_time start) const
+//-----------------------------------------------------------------------------
+// Start of attempts
+//-----------------------------------------------------------------------------
+
+bool plain_flow::attemptsLeft() const
 {
     const route &matched = *m_facts.matched;
-    const bool lastTry = matched.kind != route_kind::safe || m_outcome.runs + 1 >= matched.maxAttempts;
-    const auto tryTimeout = std::max(MIN_TRY_TIMEOUT, matched.objective * TRY_TIMEOUT_OBJECTIVES);
-    return lastTry ? m_facts.deadline : std::min<steady_time>(m_facts.deadline, start + tryTimeout);
+    const int limit = matched.kind == route_kind::safe ? std::max(1, matched.maxAttempts) : 1;
+    return m_unsent <= MAX_UNSENT_TRIES && m_outcome.runs + static_cast<int>(m_running.size()) < limit;
+}
+
+milliseconds plain_flow::tryTimeout() const
+{
+    return std::max(MIN_TRY_TIMEOUT, m_facts.matched->objective * TRY_TIMEOUT_OBJECTIVES);
+}
+
+bool plain_flow::allSilent(steady_time now) const
+{
+    return std::all_of(m_running.begin(), m_running.end(), [&](const auto &one) { return one->lastData + tryTimeout() <= now; });
 }
 
-asio::awaitable<plain_flow::try_result> plain_flow::tryServer(const listed_server &server)
+steady_time plain_flow::nextCheck(steady_time now) const
 {
-    const steady_time start = std::chrono::steady_clock::now();
+    if (!attemptsLeft()) {
+        return steady_time::max();
+    }
+    steady_time silentAt{};
+    for (const auto &one : m_running) {
+        silentAt = std::max<steady_time>(silentAt, one->lastData + tryTimeout());
+    }
+    return silentAt > now ? silentAt : now + RECHECK_INTERVAL;
+}
+
+void plain_flow::noteSilence()
+{
+    for (const auto &one : m_running) {
+        if (!std::exchange(one->silenceNoted, true)) {
+            noteFailure(one->server.address, failure_kind::broken); // one slow answer does not show that the server is lost
+        }
+    }
+}
+
+bool plain_flow::startAttempt(steady_time now)
+{
+    if (!attemptsLeft()) {
+        return false;
+    }
+    noteSilence();
+    if (m_facts.deadline - now < MIN_TRY_TIME) {
+        m_reason = "deadline";
+        return false;
+    }
+    const auto servers = m_state.serversByLoad(m_facts.service, m_tried, now);
+    if (servers.empty()) {
+        return false;
+    }
+    const listed_server &server = *servers.front();
+    if (!m_tried.empty() && !m_state.budgetOf(m_facts.service).takeRepeat(now)) {
+        m_reason = "repeat_budget";
+        return false;
+    }
+    m_tried.push_back(server.address);
+    m_outcome.servers += (m_outcome.servers.empty() ? "" : ",") + server.id.text;
+    const auto one = std::make_shared<attempt>();
+    one->server = server;
+    one->exchange = makeExchange(server.address);
     // A request that must not be executed twice gets a new connection: the server may be about to close an idle one.
-    const bool freshConnection = m_facts.matched->kind != route_kind::safe;
-    m_head = {};
-    m_body.clear();
-    m_hasRefusal = false;
-    m_hasAnswer = false;
-    const std::shared_ptr<upstream_exchange> exchange = makeExchange(server.address);
+    one->fresh = m_facts.matched->kind != route_kind::safe;
+    one->lastData = now;
+    m_running.push_back(one);
+    ++m_state.health.of(server.address).running;
+    spawnLogged(m_state.context, "plain_attempt", runAttempt(shared_from_this(), one));
+    return true;
+}
+
+//-----------------------------------------------------------------------------
+// One attempt
+//-----------------------------------------------------------------------------
+
+asio::awaitable<void> plain_flow::runAttempt(std::shared_ptr<plain_flow>, std::shared_ptr<attempt> one)
+{
+    try {
+        one->status = co_await askServer(*one);
+    } catch (const std::exception &problem) {
+        logLine(log_level::error, "plain_attempt_failed", {{"request", m_facts.id}, {"reason", problem.what()}});
+    }
+    --m_state.health.of(one->server.address).running;
+    std::erase(m_running, one);
+    if (!m_stopped) {
+        settle(*one);
+    }
+    one->exchange.reset();
+    m_changed.cancel();
+}
+
+asio::awaitable<exchange_status> plain_flow::askServer(attempt &one)
+{
+    if (m_stopped || m_abandoned) {
+        co_return exchange_status::aborted;
+    }
+    upstream_exchange &exchange = *one.exchange;
     if (m_facts.message->method() == http::verb::head) {
-        exchange->expectNoBody();
+        exchange.expectNoBody();
     }
-    ++m_state.health.of(server.address).running;
-    const scope_guard release([this, &server] { --m_state.health.of(server.address).running; });
-    const steady_time connectUntil = std::min(m_facts.deadline, start + CONNECT_TIMEOUT);
-    exchange_status status = co_await exchange->connect(freshConnection, connectUntil);
+    const steady_time connectUntil = std::min<steady_time>(m_facts.deadline, one.lastData + CONNECT_TIMEOUT);
+    const exchange_status connected = co_await exchange.connect(one.fresh, connectUntil);
+    if (m_stopped || m_abandoned) {
+        co_return exchange_status::aborted;
+    }
+    if (connected != exchange_status::ok) {
+        co_return connected;
+    }
+    const std::string bytes = encodeRequest(one.server, {}, std::chrono::steady_clock::now());
+    const exchange_status sent = co_await exchange.send(bytes, m_facts.deadline);
+    co_return sent == exchange_status::ok ? co_await readAnswer(one) : sent;
+}
+
+asio::awaitable<exchange_status> plain_flow::readAnswer(attempt &one)
+{
+    upstream_exchange &exchange = *one.exchange;
+    exchange_status status = co_await exchange.readHead(m_state.headerNames.requestId, m_facts.id, m_facts.deadline);
     if (status != exchange_status::ok) {
-        if (!m_abandoned) {
-            noteFailure(server.address, failure_kind::unreachable);
-        }
-        m_outcome.lastEnd = attempt_end::not_connected;
-        co_return try_result::not_run;
+        co_return status;
     }
-    if (m_abandoned) {
-        co_return try_result::not_run;
-    }
-    const std::string bytes = encodeRequest(server, {}, std::chrono::steady_clock::now());
-    const steady_time until = tryDeadline(start);
-    status = co_await exchange->send(bytes, until);
-    if (status == exchange_status::ok) {
-        status = co_await exchange->readHead(m_state.headerNames.requestId, m_facts.id, until);
-    }
-    if (status == exchange_status::ok) {
-        m_head = exchange->head();
-        noteLoad(m_head, server.address);
-        status = co_await exchange->readBody(m_body, MAX_ANSWER_BYTES, until);
-    }
-    if (status == exchange_status::ok && saysNotRun(m_head)) {
-        ++m_outcome.refused;
-        m_hasRefusal = true;
-        m_outcome.lastEnd = attempt_end::refused;
-        noteFailure(server.address, failure_kind::refused);
-        co_return try_result::not_run;
+    one.lastData = std::chrono::steady_clock::now();
+    one.answer.head = exchange.head();
+    noteLoad(one.answer.head, one.server.address);
+    std::string piece;
+    do {
+        status = co_await exchange.readPiece(piece, m_facts.deadline);
+        one.lastData = piece.empty() ? one.lastData : std::chrono::steady_clock::now();
+        one.answer.body += piece;
+    } while (status == exchange_status::ok && !piece.empty() && one.answer.body.size() <= MAX_ANSWER_BYTES);
+    co_return status == exchange_status::ok && !piece.empty() ? exchange_status::broken : status;
+}
+
+//-----------------------------------------------------------------------------
+// End of attempts
+//-----------------------------------------------------------------------------
+
+void plain_flow::stopAttempts()
+{
+    m_stopped = true;
+    for (const auto &one : m_running) {
+        m_outcome.runs += one->exchange->sent() ? 1 : 0;
+        one->exchange->abort();
+    }
+    m_running.clear();
+}
+
+void plain_flow::settle(attempt &one)
+{
+    m_outcome.silence = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - one.lastData);
+    if (!one.exchange->sent()) {
+        settleUnsent(one);
+    } else if (one.status == exchange_status::ok && saysNotRun(one.answer.head)) {
+        settleRefused(one);
+    } else if (one.status != exchange_status::ok || isUnusable(one.answer.head)) {
+        settleLost(one);
+    } else {
+        settleAnswered(one);
+    }
+}
+
+void plain_flow::settleUnsent(const attempt &one)
+{
+    ++m_unsent;
+    m_reason = "not_run";
+    m_outcome.lastEnd = attempt_end::not_connected;
+    if (!m_abandoned) {
+        noteFailure(one.server.address, failure_kind::unreachable);
+    }
+}
+
+void plain_flow::settleRefused(attempt &one)
+{
+    ++m_unsent;
+    ++m_outcome.refused;
+    m_reason = "not_run";
+    m_outcome.lastEnd = attempt_end::refused;
+    noteFailure(one.server.address, failure_kind::refused);
+    m_refusal = std::move(one.answer);
+}
+
+void plain_flow::settleLost(const attempt &one)
+{
+    ++m_outcome.runs;
+    m_reason = "answer_lost";
+    m_outcome.lastEnd = one.status == exchange_status::timed_out ? attempt_end::deadline : attempt_end::server_broke;
+    if (!m_abandoned && !one.silenceNoted) {
+        noteFailure(one.server.address, failure_kind::broken); // also after a timeout: one slow answer does not show that the server is lost
     }
+    const int status = one.answer.head.status;
+    logLine(log_level::info, "answer_unusable",
+            {{"request", m_facts.id},
+             {"server", one.server.id.text},
+             {"status", std::to_string(status)},
+             {"exchange", toText(one.status)},
+             {"error", one.exchange->errorText()},
+             {"bytes", std::to_string(one.answer.body.size())}});
+}
+
+void plain_flow::settleAnswered(attempt &one)
+{
     ++m_outcome.runs;
-    if (status != exchange_status::ok || isUnusable(m_head)) {
-        m_outcome.lastEnd = status == exchange_status::timed_out ? attempt_end::deadline : attempt_end::server_broke;
-        if (!m_abandoned) {
-            noteFailure(server.address, failure_kind::broken); // also after a timeout: one slow answer does not show that the server is lost
-        }
-        logLine(log_level::info, "answer_unusable",
-                {{"request", m_facts.id},
-                 {"server", server.id.text},
-                 {"status", std::to_string(m_head.status)},
-                 {"exchange", toText(status)},
-                 {"error", exchange->errorText()},
-                 {"bytes", std::to_string(m_body.size())}});
-        m_head = {};
-        m_body.clear();
-        co_return try_result::uncertain;
-    }
-    m_hasAnswer = true;
     m_outcome.lastEnd = attempt_end::answered;
-    if (m_head.status >= 500) {
-        noteFailure(server.address, failure_kind::error);
-    } else {
-        m_state.health.noteSuccess(server.address);
+    if (one.answer.head.status >= 500) {
+        m_reason = "server_error";
+        noteFailure(one.server.address, failure_kind::error);
+        m_errorAnswer = std::move(one.answer);
+        return;
+    }
+    m_state.health.noteSuccess(one.server.address);
+    if (!m_answer) {
+        m_answer = std::move(one.answer);
     }
-    co_return try_result::answered;
 }
 
 }
