A plain request's repeat uses a new connection

Callers of safe routes got 502 although every server was sound: the request met an idle connection that its server closed at that moment, and so did its repeat at the second server; or there was no second server, and the first one was not asked again.

Cause: repeats took idle connections from the pool like first attempts, so that two stale ones used up a limit of two attempts. A server that had only closed an idle connection counted as tried like one that had failed.

Change: an attempt that follows one that may have been executed, or runs beside one, uses a new connection (requests that may run once only did so already). A server that closed a reused connection before the head of its answer is asked again, once more within the limit of attempts and the repeat budget, if no other server is left.

--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -107,6 +107,17 @@
     }
 }
 
+std::optional<listed_server> plain_flow::pickServer(steady_time now)
+{
+    auto servers = m_state.serversByLoad(m_facts.service, m_tried, now);
+    if (servers.empty() && !m_stale.empty()) {
+        std::vector<std::string> others = m_tried;
+        std::erase_if(others, [this](const std::string &address) { return std::find(m_stale.begin(), m_stale.end(), address) != m_stale.end(); });
+        servers = m_state.serversByLoad(m_facts.service, others, now);
+    }
+    return servers.empty() ? std::nullopt : std::optional(*servers.front());
+}
+
 bool plain_flow::startAttempt(steady_time now)
 {
     if (!attemptsLeft()) {
@@ -117,25 +128,25 @@
         m_reason = "deadline";
         return false;
     }
-    const auto servers = m_state.serversByLoad(m_facts.service, m_tried, now);
-    if (servers.empty()) {
+    const std::optional<listed_server> server = pickServer(now);
+    if (!server) {
         return false;
     }
-    const listed_server &server = *servers.front();
     if (!m_tried.empty() && !m_state.budgetOf(m_facts.service).takeRepeat(now)) {
         m_reason = "repeat_budget";
         return false;
     }
-    m_tried.push_back(server.address);
-    m_outcome.servers += (m_outcome.servers.empty() ? "" : ",") + server.id.text;
+    m_tried.push_back(server->address);
+    std::erase(m_stale, server->address);
+    m_outcome.servers += (m_outcome.servers.empty() ? "" : ",") + server->id.text;
     const auto one = std::make_shared<attempt>();
-    one->server = server;
-    one->exchange = makeExchange(server.address);
-    // A request that must not be executed twice gets a new connection: the server may be about to close an idle one.
-    one->fresh = m_facts.matched->kind != route_kind::safe;
+    one->server = *server;
+    one->exchange = makeExchange(server->address);
+    // A server may be about to close an idle connection: that must not use up the only attempt, nor those that remain after a first.
+    one->fresh = m_facts.matched->kind != route_kind::safe || m_outcome.runs > 0 || !m_running.empty();
     one->lastData = now;
     m_running.push_back(one);
-    ++m_state.health.of(server.address).running;
+    ++m_state.health.of(server->address).running;
     spawnLogged(m_state.context, "plain_attempt", runAttempt(shared_from_this(), one));
     return true;
 }
@@ -258,6 +269,9 @@
         noteFailure(one.server.address, failure_kind::broken); // also after a timeout: one slow answer does not show that the server is lost
     }
     const int status = one.answer.head.status;
+    if (one.status == exchange_status::broken && status == 0 && one.exchange->onReusedConnection()) {
+        m_stale.push_back(one.server.address);
+    }
     logLine(log_level::info, "answer_unusable",
             {{"request", m_facts.id},
              {"server", one.server.id.text},
--- a/src/gateway/plain_flow.h
+++ b/src/gateway/plain_flow.h
@@ -36,6 +36,8 @@
 
     // Starts an attempt at another server. False if there is none, or if the limits on attempts, repeats or time forbid it.
     bool startAttempt(steady_time now);
+    // The least loaded server that was not tried; if there is none, one that only closed an idle connection.
+    std::optional<listed_server> pickServer(steady_time now);
     // True if the limit of attempts allows another one, should all those in progress be executed.
     bool attemptsLeft() const;
     // True if no attempt in progress has received data within the try timeout.
@@ -64,6 +66,7 @@
     asio::steady_timer m_changed{m_state.context}; // cancelled when an attempt has ended
     std::vector<std::shared_ptr<attempt>> m_running;
     std::vector<std::string> m_tried; // addresses of the servers that were asked
+    std::vector<std::string> m_stale; // those of them that closed a reused connection without an answer, and were not asked again
     int m_unsent = 0;                 // attempts at servers that were unreachable or did not execute the request
     bool m_stopped = false;           // stopAttempts() was called
     const char *m_reason = "no_server";
--- a/tests/gateway_plain_test.cpp
+++ b/tests/gateway_plain_test.cpp
@@ -1,4 +1,4 @@
-// Tests chestnutgw-gateway with plain services whose servers fall silent or fail while others are asked.
+// Tests chestnutgw-gateway with plain services whose servers fall silent, fail or close idle connections while others are asked.
 
 #include "gateway_deployment.h"
 
@@ -285,3 +285,54 @@
     CHECK(abandoned.count == 0);
     CHECK(answered - steady_time(steady_time::duration(brokenAt.load())) < RELEASE_TIME);
 }
+
+//-----------------------------------------------------------------------------
+// Idle connections
+//-----------------------------------------------------------------------------
+
+namespace
+{
+
+// Server that keeps its connections until `stale` is set, then closes a used one when a request arrives on it.
+server_script closeUsed(std::atomic<bool> &stale)
+{
+    return [&stale](raw_connection &out, const raw_request &in) {
+        if (stale && in.index > 0) {
+            return false;
+        }
+        out.write(answer(in, "good answer", "Keep-Alive: timeout=60\r\n"));
+        return true;
+    };
+}
+
+}
+
+TEST_CASE("a request whose reused connections are stale is answered over a new one", "[failure]")
+{
+    const int count = GENERATE(1, 2);
+    CAPTURE(count);
+    std::atomic<bool> stale = false;
+    std::vector<std::unique_ptr<scripted_server>> servers;
+    deployment site;
+    for (int number = 1; number <= count; ++number) {
+        servers.push_back(std::make_unique<scripted_server>(closeUsed(stale)));
+        site.addServer("i-" + std::to_string(number), "app", servers.back()->address());
+    }
+    startSafe(site);
+    int sent = 0;
+    REQUIRE(eventually([&] {
+        raw_client client(site.front());
+        client.write(makeRequest("/safe/", "warm" + std::to_string(++sent)));
+        client.readUntil("good answer", 1000);
+        return std::all_of(servers.begin(), servers.end(), [](const auto &server) { return server->count() > 0; });
+    }));
+    stale = true;
+    raw_client client(site.front());
+    client.write(makeRequest("/safe/", "id1"));
+    CHECK(statusOf(client.readUntil("good answer", 3000)) == 200);
+    int asked = 0;
+    for (const auto &server : servers) {
+        asked += server->count();
+    }
+    CHECK(asked == sent + 2);
+}
