One silence of a server counts once, and its data ends the backoff

Callers got 503 although their server was sound, sent events to other callers and had free slots: it was avoided for up to 4 s after a silence of 1.3 s. Cause: each request that met the silence counted as one more consecutive failure, so the backoff grew to its limit; and data from the server did not end it, only a complete answer. It also told the coordinator for seconds that a busy server was lost.

Change: failures within a backoff extend it by at most the first step and count no further; data from the server ends a backoff because it seemed unreachable or silent, not one because it refused.

--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -29,11 +29,16 @@
 constexpr milliseconds ALIVE_GRACE{300};       // peers' reports are ignored for this long after data was received
 constexpr milliseconds MAX_PEER_BACKOFF{1000}; // peers repeat their reports as long as they avoid the server
 
+// True for failures that data from the server disproves.
+bool isUnreachable(failure_kind kind)
+{
+    return kind == failure_kind::unreachable || kind == failure_kind::silent;
+}
+
 // Records the start of a period in which the server does not respond.
 void noteFaulty(server_state &state, failure_kind kind, steady_time now)
 {
-    const bool unreachable = kind == failure_kind::unreachable || kind == failure_kind::silent;
-    if (unreachable && state.faultySince == steady_time()) {
+    if (isUnreachable(kind) && state.faultySince == steady_time()) {
         state.faultySince = now;
     }
 }
@@ -44,9 +49,13 @@
 {
     const backoff_limits &range = BACKOFFS[static_cast<int>(kind)];
     server_state &state = m_servers[address];
-    ++state.failures;
     noteFaulty(state, kind, now);
     state.lastFailure = kind;
+    if (state.avoidUntil > now) { // requests that were under way fail by the same event
+        state.avoidUntil = std::max(state.avoidUntil, now + range.first);
+        return;
+    }
+    ++state.failures;
     const int beyond = state.failures - range.tolerated;
     if (beyond <= 0) {
         return;
@@ -81,6 +90,10 @@
     state.lastAlive = now;
     state.faultySince = {};
     state.peerAvoidUntil = {};
+    if (isUnreachable(state.lastFailure)) {
+        state.failures = 0;
+        state.avoidUntil = {};
+    }
 }
 
 void server_health::notePeerAvoids(const std::string &address, failure_kind kind, milliseconds avoid, steady_time now)
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -46,13 +46,13 @@
     {
         return m_servers[address];
     }
-    // Counts a failure and sets the backoff.
+    // Counts a failure and sets the backoff, which further failures within it do not lengthen beyond the first step.
     void noteFailure(const std::string &address, failure_kind kind, steady_time now);
     // Clears consecutive failures and this instance's own backoff.
     void noteSuccess(const std::string &address);
     // A new process serves at this address: clears failures and backoffs, which concern the previous process.
     void noteRestart(const std::string &address);
-    // Data was received from the server, possibly as a later stage of a path.
+    // Data was received from the server, possibly as a later stage of a path. Ends a backoff because it seemed unreachable or silent.
     void noteAlive(const std::string &address, steady_time now);
     // A peer avoids the server for this long. Ignored if this instance has just received data from the server.
     void notePeerAvoids(const std::string &address, failure_kind kind, milliseconds avoid, steady_time now);
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -657,6 +657,23 @@
     CHECK(health.faulty(NOW + first).count("t") == 0);
 }
 
+TEST_CASE("requests that fail by one silence of a server count once, and its data ends the backoff", "[unit]")
+{
+    server_health once;
+    once.noteFailure("s", failure_kind::silent, NOW);
+    server_health often;
+    for (int request = 0; request < 20; ++request) {
+        often.noteFailure("s", failure_kind::silent, NOW);
+    }
+    CHECK(often.ownBackoff("s", NOW) == once.ownBackoff("s", NOW));
+    often.noteAlive("s", NOW + milliseconds(1));
+    CHECK_FALSE(often.avoided("s", NOW + milliseconds(1)));
+
+    often.noteFailure("full", failure_kind::refused, NOW);
+    often.noteAlive("full", NOW + milliseconds(1)); // data of other requests does not disprove a refusal
+    CHECK(often.avoided("full", NOW + milliseconds(1)));
+}
+
 //-----------------------------------------------------------------------------
 // Routes
 //-----------------------------------------------------------------------------
