An exception while an attempt opens ends the attempt, and the newest event counts before it is written

Found by reading: an exception in the opening of an attempt was logged, but the request then waited for it until its client left, with no answer. And the id of the newest event was stored after the head of the answer was written, so a second attempt that started in that moment would have asked for that event again. The opening now always ends in a state, and the id is stored first.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -134,6 +134,11 @@
     if (attempt->ended) { // before this coroutine began
         co_return;
     }
+    const scope_guard settle([attempt] { // after an exception
+        if (attempt->opening == opening_state::pending) {
+            attempt->setOpening(opening_state::broken);
+        }
+    });
     opening_state state = co_await sendRequest(*attempt, *exchange);
     if (state == opening_state::pending) {
         state = co_await readOpening(*attempt, *exchange);
@@ -380,6 +385,7 @@
 {
     const steady_time now = std::chrono::steady_clock::now();
     attempt.blockedByClient = true;
+    m_lastId = attempt.splitter.lastId();
     if (m_streamBegan) {
         m_outcome.longestGap = std::max(m_outcome.longestGap, std::chrono::duration_cast<milliseconds>(now - m_lastEvent));
     } else {
@@ -398,7 +404,6 @@
             m_state.health.noteAlive(stage.address, now);
         }
     }
-    m_lastId = attempt.splitter.lastId();
     m_outcome.events = attempt.splitter.events();
     const bool written = co_await m_sink.writeStream(events);
     attempt.blockedByClient = false;
