A request that its flow leaves unanswered gets an error answer

Callers got a closed connection and no byte of an answer if an exception ended the flow of their request, or if the request was still unanswered at the end of a shutdown; the only trace of an exception was 'task_failed', without the id of the request.

The session now notes how far an answer has come. What the flow leaves unanswered gets 502, which makes no statement on whether the request has run, with the id of the request; an answer that had begun is cut, so that it does not look complete. An exception is logged as 'request_failed' with the id and counted in requests_failed. At the drain limit the process ends the requests in flight this way, logs 'drain_limit_reached', and stops 0.2 s later at most, before the platform kills it.

The test at the drain limit failed before with status 0 instead of 502.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t BODY_READ_BYTES = 64 * 1024;
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024; // of further requests, buffered while one is being answered
 constexpr int USER_TIMEOUT_MS = 4000;                   // unacknowledged data closes the connection after this time (TCP_USER_TIMEOUT)
+constexpr int UNANSWERED_STATUS = 502;                  // makes no statement on whether the request was executed
 constexpr double DEFAULT_TOKENS = 800;                  // of a generation without token counts in its headers
 constexpr milliseconds DRAIN_RETRY{150};                // Retry-After while draining: another instance can accept the request at once
 constexpr milliseconds RESTART_TIME{900};               // from the end of a process until the restarted one accepts requests
@@ -75,10 +76,11 @@
     return NAMES[static_cast<int>(end)];
 }
 
-client_session::client_session(traffic_state &state, asio::ip::tcp::socket socket)
+client_session::client_session(traffic_state &state, asio::ip::tcp::socket socket, flow_factory createFlow)
     : m_state(state)
     , m_socket(std::move(socket))
     , m_timer(state.context)
+    , m_createFlow(std::move(createFlow))
 {
     const int native = m_socket.native_handle();
     const int on = 1;
@@ -131,6 +133,17 @@
     }
 }
 
+void client_session::abort()
+{
+    m_aborted = true;
+    m_closing = true;
+    if (m_flow) {
+        m_flow->abandon();
+    } else if (!m_serving) {
+        cancelOperations();
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Receiving a request
 //-----------------------------------------------------------------------------
@@ -329,16 +342,49 @@
     });
     m_keepAlive = m_keepAlive && message.keep_alive() && !m_state.draining;
     m_isHeadRequest = message.method() == http::verb::head;
+    m_answer = answer_progress::none;
     request_facts facts;
-    if (!co_await admit(message, facts)) {
+    const std::string failure = co_await runFlow(message, facts);
+    if (!failure.empty()) {
+        m_state.counters.count("requests_failed");
+        logLine(log_level::error, "request_failed", {{"request", facts.id}, {"error", failure}});
+    }
+    request_outcome outcome = m_flow ? m_flow->outcome() : request_outcome();
+    if (m_answer != answer_progress::complete && !m_clientGone && !m_cut) {
+        co_await endUnanswered(facts, outcome, failure);
+    }
+    if (m_flow) {
+        reportUnanswered(facts, outcome);
+        logOutcome(facts, outcome);
+    }
+}
+
+asio::awaitable<std::string> client_session::runFlow(const client_message &message, request_facts &facts)
+{
+    try {
+        if (co_await admit(message, facts)) {
+            m_flow = m_createFlow(m_state, facts, *this);
+            watchClient();
+            co_await m_flow->run();
+        }
+    } catch (const std::exception &problem) {
+        co_return problem.what();
+    }
+    co_return std::string();
+}
+
+asio::awaitable<void> client_session::endUnanswered(const request_facts &facts, request_outcome &outcome, const std::string &failure)
+{
+    const char *reason = !failure.empty() ? "internal_error" : m_aborted ? "stopped" : "unanswered";
+    outcome.reason = reason;
+    m_keepAlive = false;
+    if (m_answer == answer_progress::begun) {
+        outcome.cut = true;
+        cut();
         co_return;
     }
-    m_flow = makeFlow(m_state, facts, *this);
-    const std::shared_ptr<request_flow> flow = m_flow;
-    watchClient();
-    co_await flow->run();
-    reportUnanswered(facts, flow->outcome());
-    logOutcome(facts, flow->outcome());
+    outcome.status = UNANSWERED_STATUS;
+    co_await rejectRequest(UNANSWERED_STATUS, reason, facts.id);
 }
 
 //-----------------------------------------------------------------------------
@@ -421,6 +467,7 @@
 asio::awaitable<bool> client_session::respond(int status, const header_list &headers, const std::string &body)
 {
     m_keepAlive = m_keepAlive && !m_state.draining;
+    m_answer = answer_progress::begun;
     std::string text = encodeHead(status, headers);
     const bool noBody = status == 204 || status == 304;
     if (!noBody) {
@@ -430,12 +477,15 @@
     if (!noBody && !m_isHeadRequest) {
         text += body;
     }
-    co_return co_await writeAll(text);
+    const bool sent = co_await writeAll(text);
+    m_answer = answer_progress::complete;
+    co_return sent;
 }
 
 asio::awaitable<bool> client_session::beginStream(int status, const header_list &headers)
 {
     m_keepAlive = m_keepAlive && !m_state.draining;
+    m_answer = answer_progress::begun;
     const std::string text = encodeHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n";
     co_return co_await writeAll(text);
 }
@@ -452,7 +502,9 @@
 asio::awaitable<bool> client_session::finishStream()
 {
     const std::string text = "0\r\n\r\n";
-    co_return co_await writeAll(text);
+    const bool sent = co_await writeAll(text);
+    m_answer = answer_progress::complete;
+    co_return sent;
 }
 
 void client_session::cut()
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -22,14 +22,19 @@
 
 const char *toText(client_end end);
 
+// Creates the flow of a request; makeFlow() except in tests.
+using flow_factory = std::function<std::shared_ptr<request_flow>(traffic_state &, request_facts, answer_sink &)>;
+
 class client_session : public answer_sink, public std::enable_shared_from_this<client_session>
 {
 public:
-    client_session(traffic_state &state, asio::ip::tcp::socket socket);
+    client_session(traffic_state &state, asio::ip::tcp::socket socket, flow_factory createFlow = makeFlow);
     asio::awaitable<void> run();
     // Closes the connection as soon as no request is being received or answered, and the last answer has announced it or the client
     // has had time for the request that it may already have sent.
     void closeWhenIdle();
+    // Ends the request in progress, if any: with an error answer if no answer has begun, else by closing the connection.
+    void abort();
     // True while a request is being received or answered.
     bool isBusy() const
     {
@@ -43,6 +48,12 @@
     void cut() override;
 
 private:
+    enum class answer_progress
+    {
+        none,
+        begun,
+        complete,
+    };
     using request_parser = http::request_parser<http::string_body>;
 
     static constexpr std::size_t READ_BYTES = 4096;
@@ -62,6 +73,10 @@
     // Answers a request that cannot be parsed, if HTTP has a status for the error; the connection closes.
     asio::awaitable<void> rejectUnreadable(boost::system::error_code error);
     asio::awaitable<void> serve(client_message &message);
+    // Runs a request and its answer. The result is the text of an exception that ended it, empty if there was none.
+    asio::awaitable<std::string> runFlow(const client_message &message, request_facts &facts);
+    // Completes what the flow left unanswered: sends an error answer if none has begun, else closes the connection in mid-answer.
+    asio::awaitable<void> endUnanswered(const request_facts &facts, request_outcome &outcome, const std::string &failure);
     // Determines the properties of the request. False if it was rejected; the error answer has then been sent.
     asio::awaitable<bool> admit(const client_message &message, request_facts &facts);
     // Longest time that the answer should take. A stopping instance accepts only requests that end before it stops.
@@ -89,16 +104,19 @@
     asio::steady_timer m_timer;   // see startTimeout()
     std::uint64_t m_timeouts = 0; // number of calls of startTimeout() and stopTimeout(), so that a stale timer event is ignored
     beast::flat_buffer m_buffer;
-    std::shared_ptr<request_flow> m_flow; // in progress, else null
-    std::uint64_t m_requestEpoch = 0;     // increased at the start and end of each request, so that a stale read event is ignored
-    bool m_serving = false;               // a request is being answered
-    bool m_reading = false;               // a request has been received in part
-    bool m_closing = false;               // closeWhenIdle() was called
+    flow_factory m_createFlow;
+    answer_progress m_answer = answer_progress::none; // of the current request
+    std::shared_ptr<request_flow> m_flow;             // in progress, else null
+    std::uint64_t m_requestEpoch = 0;                 // increased at the start and end of each request, so that a stale read event is ignored
+    bool m_serving = false;                           // a request is being answered
+    bool m_reading = false;                           // a request has been received in part
+    bool m_closing = false;                           // closeWhenIdle() was called
     bool m_keepAlive = true;
     bool m_isHeadRequest = false; // the current request is a HEAD request, whose answer has no body
     bool m_clientGone = false;    // the client has closed the connection
     client_end m_clientEnd = client_end::open;
-    bool m_cut = false; // cut() has closed the connection
+    bool m_aborted = false; // abort() was called
+    bool m_cut = false;     // cut() has closed the connection
 };
 
 }
--- a/src/gateway/front_server.cpp
+++ b/src/gateway/front_server.cpp
@@ -182,6 +182,15 @@
     closeIdle();
 }
 
+void front_server::abortSessions()
+{
+    for (const auto &known : m_sessions) {
+        if (const auto session = known.lock()) {
+            session->abort();
+        }
+    }
+}
+
 int front_server::openSessions() const
 {
     return static_cast<int>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &known) { return !known.expired(); }));
--- a/src/gateway/front_server.h
+++ b/src/gateway/front_server.h
@@ -24,6 +24,8 @@
     void closeIdle();
     // Accepts the connections that are waiting, closes the listener and closes idle client connections.
     void stopAccepting();
+    // Ends all requests in progress; those without an answer get an error answer.
+    void abortSessions();
     // Number of client connections that are open, and of those on which a request is being received or answered.
     int openSessions() const;
     int busySessions() const;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds BASE_MAX_CONFIRMATION_AGE{1000}; // of the second instance
 constexpr milliseconds CONFIRMATION_AGE_STEP{250};      // added for each further instance
 constexpr int MAX_CONFIRMATION_AGE_STEPS = 3;
+constexpr milliseconds ABORT_TIME{200};          // from the drain limit until the process ends: time to send the last error answers
 constexpr milliseconds LOAD_REPORT_INTERVAL{80}; // interval at which this instance's load is passed to the mesh
 constexpr milliseconds LOOP_DELAY_LOGGED{100};   // a thread that is later than this is logged
 constexpr seconds DROPPED_LINES_INTERVAL{5};     // interval of the log line with the number of dropped lines
@@ -113,6 +114,7 @@
     steady_time m_drainBegan{};
     bool m_idleClosed = false;
     bool m_listenerClosed = false;
+    bool m_aborted = false;
 };
 
 control_handler gateway_process::planeHandler()
@@ -257,6 +259,7 @@
 
 // Called periodically while draining: requests are served until the load balancer sends no new ones and those in flight have
 // ended, at most until the drain limit. The listener closes then, and the process ends once all client connections have ended.
+// Requests that are still in flight at the drain limit get an error answer.
 void gateway_process::drainStep()
 {
     const auto elapsed = std::chrono::steady_clock::now() - m_drainBegan;
@@ -264,11 +267,19 @@
         m_idleClosed = true;
         m_front.closeIdle();
     }
-    if (!m_listenerClosed && elapsed >= IDLE_CLOSE_DELAY + DRAIN_CHECK_INTERVAL * 4 && m_front.busySessions() == 0) {
+    const milliseconds limit = m_state.settings.drainLimit();
+    const bool quiet = elapsed >= IDLE_CLOSE_DELAY + DRAIN_CHECK_INTERVAL * 4 && m_front.busySessions() == 0;
+    if (!m_listenerClosed && (quiet || elapsed >= limit)) {
         m_listenerClosed = true;
         m_front.stopAccepting();
     }
-    if ((m_listenerClosed && m_front.openSessions() == 0) || elapsed >= m_state.settings.drainLimit()) {
+    if (!m_aborted && elapsed >= limit) {
+        m_aborted = true;
+        logLine(log_level::warning, "drain_limit_reached",
+                {{"open_requests", std::to_string(m_state.openRequests)}, {"busy_connections", std::to_string(m_front.busySessions())}});
+        m_front.abortSessions();
+    }
+    if ((m_listenerClosed && m_front.openSessions() == 0) || elapsed >= limit + ABORT_TIME) {
         logLine(log_level::info, "stopped",
                 {{"open_requests", std::to_string(m_state.openRequests)}, {"busy_connections", std::to_string(m_front.busySessions())}});
         m_context.stop();
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -188,6 +188,38 @@
     CHECK(site.gateways[0]->wait() == 0);
 }
 
+TEST_CASE("a request that is unanswered at the end of a shutdown gets an error answer", "[failure]")
+{
+    scripted_server server([](raw_connection &out, const raw_request &) {
+        out.waitForClose(9000);
+        return false;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start({"instance.grace=4"});
+    json slow = limits(700, 5000);
+    slow["Routes"] = {{{"Name", "once"},
+                       {"Hostname", "h.example"},
+                       {"PathPrefix", "/once/"},
+                       {"RouteType", "non_idempotent"},
+                       {"TimeoutMs", 9000},
+                       {"LatencyGoalMs", 100},
+                       {"Service", "app"},
+                       {"MaxAttempts", 1}}};
+    slow["Tenants"] = {{{"Name", "t1"}, {"ApiKeys", {"key9"}}}};
+    site.publish(2, slow);
+    REQUIRE(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/once/", "probe", "", "", "key1"))) == 401; }));
+    const int before = server.count();
+    raw_client client(site.front());
+    client.write(makeRequest("/once/", "id1", "", "", "key9"));
+    REQUIRE(eventually([&] { return server.count() > before; }));
+    site.gateways[0]->signal(SIGTERM);
+    const std::string got = client.readUntil("\x01never", 6000);
+    CHECK(statusOf(got) == 502);
+    CHECK(got.find("X-Chestnutgw-Request-Id: id1") != std::string::npos);
+    CHECK(site.gateways[0]->wait() == 0);
+}
+
 TEST_CASE("further signals during a shutdown end no request", "[failure]")
 {
     std::atomic<bool> go = false;
