Data that crosses the last answer does not destroy it

Callers that sent something after a request whose answer closed the connection could lose the end of that answer: closing a socket that has or gets unread data sends a TCP reset, and what had not been delivered is discarded. With a small receive window, 49,152 bytes of a 60,000 byte answer arrived.

Every connection now closes as rejected requests did: the sending direction first, then what arrives is read and dropped until the client closes its side, for 0.5 s at most (0.2 s before, for rejections only).

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds UNKNOWN_CONFIG_RETRY{400}; // Retry-After: a starting instance has loaded its configuration by then
 constexpr milliseconds WRITE_TIMEOUT{5000};       // a client that accepts no data for this long is disconnected
 constexpr milliseconds CLOSING_WAIT{200};         // time for a request that the client may have sent before it learns that the connection closes
-constexpr milliseconds REJECT_LINGER{200};        // time to read on after an early rejection, so that a TCP reset does not discard the answer
+constexpr milliseconds CLOSE_LINGER{500};         // a closing connection waits this long for the client to close it too
 constexpr std::size_t BODY_READ_BYTES = 64 * 1024;
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024; // of further requests, buffered while one is being answered
 constexpr int USER_TIMEOUT_MS = 4000;                   // unacknowledged data closes the connection after this time (TCP_USER_TIMEOUT)
@@ -103,11 +103,24 @@
         client_message message = parser.release();
         co_await serve(message);
     }
+    if (!m_clientGone && !m_cut) {
+        co_await closeGracefully();
+    }
     error_code ignored; // the connection is over either way
-    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
 }
 
+asio::awaitable<void> client_session::closeGracefully()
+{
+    error_code error; // the client may have closed the connection
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    const steady_time until = std::chrono::steady_clock::now() + CLOSE_LINGER;
+    while (!error) {
+        m_buffer.clear();
+        error = co_await receive(until);
+    }
+}
+
 milliseconds client_session::maxAnswerTime(const request_facts &facts) const
 {
     return facts.matched->kind == route_kind::stream ? m_state.streamTime.upperEstimate(maxEvents(facts)) : facts.matched->timeout;
@@ -272,13 +285,6 @@
     m_state.counters.count("requests_unreadable", {{"reason", reason}});
     logLine(log_level::info, "request_unreadable", {{"reason", reason}, {"error", error.message()}});
     co_await rejectRequest(status, reason, "");
-    // Reads on for a moment: closing a socket with unread data sends a TCP reset, which may discard the answer.
-    const steady_time until = std::chrono::steady_clock::now() + REJECT_LINGER;
-    error_code ended;
-    while (!ended) {
-        m_buffer.clear();
-        ended = co_await receive(until);
-    }
 }
 
 //-----------------------------------------------------------------------------
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -70,6 +70,9 @@
     void stopTimeout();
     void cancelOperations();
     client_limits currentLimits() const;
+    // Ends the connection so that the last answer arrives: closing a socket that has or gets unread data sends a TCP reset, which
+    // discards what is still on its way.
+    asio::awaitable<void> closeGracefully();
     // Answers a request that cannot be parsed, if HTTP has a status for the error; the connection closes.
     asio::awaitable<void> rejectUnreadable(boost::system::error_code error);
     asio::awaitable<void> serve(client_message &message);
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -2,9 +2,13 @@
 
 #include "gateway_deployment.h"
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <sys/socket.h>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -32,6 +36,66 @@
     REQUIRE(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/safe/", "probe", "", "", key))) == 200; }));
 }
 
+// Sum of a metric of the gateway over all label sets.
+double metricOf(const deployment &site, const std::string &name)
+{
+    const std::string text = request("GET", "http://127.0.0.1:" + site.gateways[0]->listening().at("metrics_port").get<std::string>() + "/metrics").body;
+    double sum = 0;
+    for (std::size_t at = 0; at < text.size(); at = text.find('\n', at) + 1) {
+        const std::string line = text.substr(at, text.find('\n', at) - at);
+        if (!line.starts_with('#') && line.find(name) != std::string::npos) {
+            sum += std::stod(line.substr(line.rfind(' ')));
+        }
+    }
+    return sum;
+}
+
+// Client with a small receive buffer that reads an answer in steps.
+class slow_client
+{
+public:
+    explicit slow_client(const std::string &address)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const int bytes = 32 * 1024;
+        ::setsockopt(m_socket.get(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+        sockaddr_in peer{};
+        peer.sin_family = AF_INET;
+        peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+        peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(m_socket.get(), reinterpret_cast<const sockaddr *>(&peer), sizeof peer) == 0);
+    }
+    void write(const std::string &bytes) const
+    {
+        (void)::send(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    // Reads until the peer closes the connection; pauses after each part of `stepBytes`. Returns the number of bytes received.
+    std::size_t readAll(std::size_t stepBytes = 0, int pauseMs = 0) const
+    {
+        std::size_t total = 0;
+        std::size_t nextPause = stepBytes;
+        char buffer[16384];
+        while (true) {
+            pollfd entry{m_socket.get(), POLLIN, 0};
+            if (::poll(&entry, 1, 10000) <= 0) {
+                return total;
+            }
+            const ssize_t got = ::recv(m_socket.get(), buffer, sizeof buffer, 0);
+            if (got <= 0) {
+                return total;
+            }
+            total += static_cast<std::size_t>(got);
+            if (stepBytes > 0 && total >= nextPause) {
+                nextPause += stepBytes;
+                ::poll(nullptr, 0, pauseMs);
+            }
+        }
+    }
+
+private:
+    unique_fd m_socket;
+};
+
 }
 
 //-----------------------------------------------------------------------------
@@ -244,3 +308,25 @@
     CHECK(client.readUntil("0\r\n\r\n", 7000).find("piece3") != std::string::npos);
     CHECK(site.gateways[0]->wait() == 0);
 }
+
+//-----------------------------------------------------------------------------
+// Closing after an answer
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data that arrives after the last answer does not destroy this answer", "[failure]")
+{
+    const std::string large(60'000, 'x');
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        out.write(answer(in, large));
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    slow_client client(site.front());
+    client.write(makeRequest("/once/", "id1", "Connection: close\r\n"));
+    REQUIRE(eventually([&] { return metricOf(site, "requests{") >= 1; }));
+    client.write(makeRequest("/once/", "id2"));
+    CHECK(client.readAll(16'000, 20) > large.size());
+    CHECK(server.count() == 1);
+}
