A client that reads slowly but steadily gets its whole answer

Callers that took more than 5 s to read a long answer found it cut off in the middle, although data went on arriving: the time limit for a client that accepts no data counted from the beginning of the write. It now starts anew whenever the client has accepted something.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -444,13 +444,13 @@
     if (m_clientGone || m_cut) {
         co_return false;
     }
-    startTimeout(std::chrono::steady_clock::now() + WRITE_TIMEOUT);
     error_code error;
     std::size_t sent = 0;
     while (sent < bytes.size() && !error) {
+        startTimeout(std::chrono::steady_clock::now() + WRITE_TIMEOUT);
         sent += co_await m_socket.async_write_some(asio::buffer(bytes) + sent, into(error));
+        stopTimeout();
     }
-    stopTimeout();
     if (error && !m_clientGone) {
         m_clientEnd = error == asio::error::operation_aborted ? client_end::not_reading : client_end::reset;
         handleClientGone();
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -330,3 +330,18 @@
     CHECK(client.readAll(16'000, 20) > large.size());
     CHECK(server.count() == 1);
 }
+
+TEST_CASE("a client that reads a long answer slowly but steadily gets it completely", "[failure]")
+{
+    const std::string large(12'000'000, 'x');
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        out.write(answer(in, large));
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    slow_client client(site.front());
+    client.write(makeRequest("/once/", "id1", "Connection: close\r\n"));
+    CHECK(client.readAll(300'000, 200) > large.size()); // 8 s in all
+}
