Unusable numbers in the headers of a request do not end it

Callers whose X-Chestnutgw-Deadline-Ms was 'nan', 'inf' or too large for an integer were refused with 503 at once, and so were requests with neither a deadline nor a route timeout, whose limit came out as 0: the number was converted to an integer without a check. Token counts had the same flaw and went into the load of the servers.

Numbers that are not finite now count as missing, larger ones are cut down to the route's limit, and a request without any limit gets one hour.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <charconv>
+#include <cmath>
 #include <netinet/tcp.h>
 
 namespace chestnut
@@ -26,6 +27,8 @@
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024; // of further requests, buffered while one is being answered
 constexpr int USER_TIMEOUT_MS = 4000;                   // unacknowledged data closes the connection after this time (TCP_USER_TIMEOUT)
 constexpr int UNANSWERED_STATUS = 502;                  // makes no statement on whether the request was executed
+constexpr milliseconds MAX_ANSWER_TIME{3'600'000};      // for a request that has no limit, or none that can be used
+constexpr double MAX_TOKENS = 1e9;                      // in a client's headers; larger numbers are cut down to this
 constexpr double DEFAULT_TOKENS = 800;                  // of a generation without token counts in its headers
 constexpr milliseconds DRAIN_RETRY{150};                // Retry-After while draining: another instance can accept the request at once
 constexpr milliseconds RESTART_TIME{900};               // from the end of a process until the restarted one accepts requests
@@ -36,12 +39,13 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
-// Parses the number at the beginning of a header value; nothing if there is none.
+// Parses the number at the beginning of a header value; nothing if there is none or it is not finite.
 std::optional<double> parseLeadingNumber(std::string_view text)
 {
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return error == std::errc() && end != text.data() ? std::optional(value) : std::nullopt;
+    const bool usable = error == std::errc() && end != text.data() && std::isfinite(value);
+    return usable ? std::optional(value) : std::nullopt;
 }
 
 // Reads the prompt tokens and the expected and maximum answer tokens of a generation from the headers.
@@ -56,8 +60,19 @@
     }
     const double most = parseLeadingNumber(counts.substr(comma + 1)).value_or(0);
     const double hint = parseLeadingNumber(viewOf(message[headerNames.lengthHint])).value_or(most);
-    facts.tokens = *prompt + std::min(most, hint);
-    facts.maxAnswerTokens = most;
+    facts.tokens = std::clamp(*prompt, 0.0, MAX_TOKENS) + std::clamp(std::min(most, hint), 0.0, MAX_TOKENS);
+    facts.maxAnswerTokens = std::clamp(most, 0.0, MAX_TOKENS);
+}
+
+// Time for the whole answer: the client's limit or the route's, whichever is shorter.
+milliseconds answerTime(std::optional<double> clientLimitMs, milliseconds routeLimit)
+{
+    const milliseconds most = routeLimit.count() > 0 ? routeLimit : MAX_ANSWER_TIME;
+    if (!clientLimitMs) {
+        return most;
+    }
+    const double bounded = std::clamp(*clientLimitMs, 0.0, static_cast<double>(most.count()));
+    return milliseconds(static_cast<std::int64_t>(bounded));
 }
 
 // Number of events of the longest possible answer to a generation.
@@ -319,13 +334,7 @@
         facts.account = account->second;
     }
     facts.service = pickService(*facts.matched, m_state.draw());
-    const auto wanted = parseLeadingNumber(viewOf(message[headerNames.deadline]));
-    const auto routeLimit = facts.matched->timeout;
-    milliseconds limit = wanted ? milliseconds(static_cast<std::int64_t>(*wanted)) : routeLimit;
-    if (routeLimit.count() > 0) {
-        limit = std::min(limit, routeLimit);
-    }
-    facts.deadline = facts.accepted + limit;
+    facts.deadline = facts.accepted + answerTime(parseLeadingNumber(viewOf(message[headerNames.deadline])), facts.matched->timeout);
     readTokenCounts(message, headerNames, facts);
     if (m_state.draining && facts.accepted + maxAnswerTime(facts) > m_state.drainEnd) {
         co_await rejectRequest(503, "stopping", facts.id, drainRetryAfter(facts.accepted));
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -345,3 +345,60 @@
     client.write(makeRequest("/once/", "id1", "Connection: close\r\n"));
     CHECK(client.readAll(300'000, 200) > large.size()); // 8 s in all
 }
+
+//-----------------------------------------------------------------------------
+// Headers and logs
+//-----------------------------------------------------------------------------
+
+TEST_CASE("token counts and deadlines without a usable number do not end a request", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.addServer("i-2", "app", server.address());
+    site.start();
+    for (const std::string value : {"nan", "inf", "1e30", "1e999", "x", ""}) {
+        CAPTURE(value);
+        std::string plain = makeRequest("/safe/", "id1");
+        plain.replace(plain.find("6000"), 4, value);
+        CHECK(statusOf(exchange(site.front(), plain)) == 200);
+        std::string stream = makeRequest("/stream/", "id2");
+        stream.replace(stream.find("10,10"), 5, value + "," + value);
+        exchange(site.front(), stream);
+        CHECK(statusOf(exchange(site.front(), makeRequest("/stream/", "id3"))) == 200);
+    }
+}
+
+TEST_CASE("a request with neither a deadline nor a route timeout is answered", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    json open = limits(700, 5000);
+    open["Routes"] = {{{"Name", "open"},
+                       {"Hostname", "h.example"},
+                       {"PathPrefix", "/safe/"},
+                       {"RouteType", "safe"},
+                       {"LatencyGoalMs", 100},
+                       {"Service", "app"},
+                       {"MaxAttempts", 1}}};
+    publishAndWait(site, 2, open);
+    std::string plain = makeRequest("/safe/", "id1");
+    plain.erase(plain.find("X-Chestnutgw-Deadline-Ms"), std::string("X-Chestnutgw-Deadline-Ms: 6000\r\n").size());
+    CHECK(statusOf(exchange(site.front(), plain)) == 200);
+}
+
+TEST_CASE("logs that nobody reads end no request", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start({"log.lines_per_second=100000"});
+    raw_client client(site.front());
+    for (int i = 0; i < 1000; ++i) {
+        raw_client one(site.front());
+        one.write(makeRequest("/safe/", "id" + std::to_string(i)));
+        REQUIRE(statusOf(one.readUntil("hello")) == 200);
+    }
+}
