--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <charconv>
+#include <cmath>
 #include <netinet/tcp.h>
 
 namespace chestnut
@@ -21,10 +22,13 @@
 constexpr milliseconds UNKNOWN_CONFIG_RETRY{400}; // Retry-After: a starting instance has loaded its configuration by then
 constexpr milliseconds WRITE_TIMEOUT{5000};       // a client that accepts no data for this long is disconnected
 constexpr milliseconds CLOSING_WAIT{200};         // time for a request that the client may have sent before it learns that the connection closes
-constexpr milliseconds REJECT_LINGER{200};        // time to read on after an early rejection, so that a TCP reset does not discard the answer
+constexpr milliseconds CLOSE_LINGER{500};         // a closing connection waits this long for the client to close it too
 constexpr std::size_t BODY_READ_BYTES = 64 * 1024;
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024; // of further requests, buffered while one is being answered
 constexpr int USER_TIMEOUT_MS = 4000;                   // unacknowledged data closes the connection after this time (TCP_USER_TIMEOUT)
+constexpr int UNANSWERED_STATUS = 502;                  // makes no statement on whether the request was executed
+constexpr milliseconds MAX_ANSWER_TIME{3'600'000};      // for a request that has no limit, or none that can be used
+constexpr double MAX_TOKENS = 1e9;                      // in a client's headers; larger numbers are cut down to this
 constexpr double DEFAULT_TOKENS = 800;                  // of a generation without token counts in its headers
 constexpr milliseconds DRAIN_RETRY{150};                // Retry-After while draining: another instance can accept the request at once
 constexpr milliseconds RESTART_TIME{900};               // from the end of a process until the restarted one accepts requests
@@ -35,12 +39,13 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
-// Parses the number at the beginning of a header value; nothing if there is none.
+// Parses the number at the beginning of a header value; nothing if there is none or it is not finite.
 std::optional<double> parseLeadingNumber(std::string_view text)
 {
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return error == std::errc() && end != text.data() ? std::optional(value) : std::nullopt;
+    const bool usable = error == std::errc() && end != text.data() && std::isfinite(value);
+    return usable ? std::optional(value) : std::nullopt;
 }
 
 // Reads the prompt tokens and the expected and maximum answer tokens of a generation from the headers.
@@ -55,8 +60,19 @@
     }
     const double most = parseLeadingNumber(counts.substr(comma + 1)).value_or(0);
     const double hint = parseLeadingNumber(viewOf(message[headerNames.lengthHint])).value_or(most);
-    facts.tokens = *prompt + std::min(most, hint);
-    facts.maxAnswerTokens = most;
+    facts.tokens = std::clamp(*prompt, 0.0, MAX_TOKENS) + std::clamp(std::min(most, hint), 0.0, MAX_TOKENS);
+    facts.maxAnswerTokens = std::clamp(most, 0.0, MAX_TOKENS);
+}
+
+// Time for the whole answer: the client's limit or the route's, whichever is shorter.
+milliseconds answerTime(std::optional<double> clientLimitMs, milliseconds routeLimit)
+{
+    const milliseconds most = routeLimit.count() > 0 ? routeLimit : MAX_ANSWER_TIME;
+    if (!clientLimitMs) {
+        return most;
+    }
+    const double bounded = std::clamp(*clientLimitMs, 0.0, static_cast<double>(most.count()));
+    return milliseconds(static_cast<std::int64_t>(bounded));
 }
 
 // Number of events of the longest possible answer to a generation.
@@ -75,10 +91,11 @@
     return NAMES[static_cast<int>(end)];
 }
 
-client_session::client_session(traffic_state &state, asio::ip::tcp::socket socket)
+client_session::client_session(traffic_state &state, asio::ip::tcp::socket socket, flow_factory createFlow)
     : m_state(state)
     , m_socket(std::move(socket))
     , m_timer(state.context)
+    , m_createFlow(std::move(createFlow))
 {
     const int native = m_socket.native_handle();
     const int on = 1;
@@ -101,11 +118,24 @@
         client_message message = parser.release();
         co_await serve(message);
     }
+    if (!m_clientGone && !m_cut) {
+        co_await closeGracefully();
+    }
     error_code ignored; // the connection is over either way
-    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
 }
 
+asio::awaitable<void> client_session::closeGracefully()
+{
+    error_code error; // the client may have closed the connection
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    const steady_time until = std::chrono::steady_clock::now() + CLOSE_LINGER;
+    while (!error) {
+        m_buffer.clear();
+        error = co_await receive(until);
+    }
+}
+
 milliseconds client_session::maxAnswerTime(const request_facts &facts) const
 {
     return facts.matched->kind == route_kind::stream ? m_state.streamTime.upperEstimate(maxEvents(facts)) : facts.matched->timeout;
@@ -131,6 +161,17 @@
     }
 }
 
+void client_session::abort()
+{
+    m_aborted = true;
+    m_closing = true;
+    if (m_flow) {
+        m_flow->abandon();
+    } else if (!m_serving) {
+        cancelOperations();
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Receiving a request
 //-----------------------------------------------------------------------------
@@ -259,13 +300,6 @@
     m_state.counters.count("requests_unreadable", {{"reason", reason}});
     logLine(log_level::info, "request_unreadable", {{"reason", reason}, {"error", error.message()}});
     co_await rejectRequest(status, reason, "");
-    // Reads on for a moment: closing a socket with unread data sends a TCP reset, which may discard the answer.
-    const steady_time until = std::chrono::steady_clock::now() + REJECT_LINGER;
-    error_code ended;
-    while (!ended) {
-        m_buffer.clear();
-        ended = co_await receive(until);
-    }
 }
 
 //-----------------------------------------------------------------------------
@@ -300,13 +334,7 @@
         facts.account = account->second;
     }
     facts.service = pickService(*facts.matched, m_state.draw());
-    const auto wanted = parseLeadingNumber(viewOf(message[headerNames.deadline]));
-    const auto routeLimit = facts.matched->timeout;
-    milliseconds limit = wanted ? milliseconds(static_cast<std::int64_t>(*wanted)) : routeLimit;
-    if (routeLimit.count() > 0) {
-        limit = std::min(limit, routeLimit);
-    }
-    facts.deadline = facts.accepted + limit;
+    facts.deadline = facts.accepted + answerTime(parseLeadingNumber(viewOf(message[headerNames.deadline])), facts.matched->timeout);
     readTokenCounts(message, headerNames, facts);
     if (m_state.draining && facts.accepted + maxAnswerTime(facts) > m_state.drainEnd) {
         co_await rejectRequest(503, "stopping", facts.id, drainRetryAfter(facts.accepted));
@@ -329,16 +357,49 @@
     });
     m_keepAlive = m_keepAlive && message.keep_alive() && !m_state.draining;
     m_isHeadRequest = message.method() == http::verb::head;
+    m_answer = answer_progress::none;
     request_facts facts;
-    if (!co_await admit(message, facts)) {
+    const std::string failure = co_await runFlow(message, facts);
+    if (!failure.empty()) {
+        m_state.counters.count("requests_failed");
+        logLine(log_level::error, "request_failed", {{"request", facts.id}, {"error", failure}});
+    }
+    request_outcome outcome = m_flow ? m_flow->outcome() : request_outcome();
+    if (m_answer != answer_progress::complete && !m_clientGone && !m_cut) {
+        co_await endUnanswered(facts, outcome, failure);
+    }
+    if (m_flow) {
+        reportUnanswered(facts, outcome);
+        logOutcome(facts, outcome);
+    }
+}
+
+asio::awaitable<std::string> client_session::runFlow(const client_message &message, request_facts &facts)
+{
+    try {
+        if (co_await admit(message, facts)) {
+            m_flow = m_createFlow(m_state, facts, *this);
+            watchClient();
+            co_await m_flow->run();
+        }
+    } catch (const std::exception &problem) {
+        co_return problem.what();
+    }
+    co_return std::string();
+}
+
+asio::awaitable<void> client_session::endUnanswered(const request_facts &facts, request_outcome &outcome, const std::string &failure)
+{
+    const char *reason = !failure.empty() ? "internal_error" : m_aborted ? "stopped" : "unanswered";
+    outcome.reason = reason;
+    m_keepAlive = false;
+    if (m_answer == answer_progress::begun) {
+        outcome.cut = true;
+        cut();
         co_return;
     }
-    m_flow = makeFlow(m_state, facts, *this);
-    const std::shared_ptr<request_flow> flow = m_flow;
-    watchClient();
-    co_await flow->run();
-    reportUnanswered(facts, flow->outcome());
-    logOutcome(facts, flow->outcome());
+    outcome.status = UNANSWERED_STATUS;
+    co_await rejectRequest(UNANSWERED_STATUS, reason, facts.id);
 }
 
 //-----------------------------------------------------------------------------
@@ -392,13 +453,13 @@
     if (m_clientGone || m_cut) {
         co_return false;
     }
-    startTimeout(std::chrono::steady_clock::now() + WRITE_TIMEOUT);
     error_code error;
     std::size_t sent = 0;
     while (sent < bytes.size() && !error) {
+        startTimeout(std::chrono::steady_clock::now() + WRITE_TIMEOUT);
         sent += co_await m_socket.async_write_some(asio::buffer(bytes) + sent, into(error));
+        stopTimeout();
     }
-    stopTimeout();
     if (error && !m_clientGone) {
         m_clientEnd = error == asio::error::operation_aborted ? client_end::not_reading : client_end::reset;
         handleClientGone();
@@ -421,6 +482,7 @@
 asio::awaitable<bool> client_session::respond(int status, const header_list &headers, const std::string &body)
 {
     m_keepAlive = m_keepAlive && !m_state.draining;
+    m_answer = answer_progress::begun;
     std::string text = encodeHead(status, headers);
     const bool noBody = status == 204 || status == 304;
     if (!noBody) {
@@ -430,12 +492,15 @@
     if (!noBody && !m_isHeadRequest) {
         text += body;
     }
-    co_return co_await writeAll(text);
+    const bool sent = co_await writeAll(text);
+    m_answer = answer_progress::complete;
+    co_return sent;
 }
 
 asio::awaitable<bool> client_session::beginStream(int status, const header_list &headers)
 {
     m_keepAlive = m_keepAlive && !m_state.draining;
+    m_answer = answer_progress::begun;
     const std::string text = encodeHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n";
     co_return co_await writeAll(text);
 }
@@ -452,7 +517,9 @@
 asio::awaitable<bool> client_session::finishStream()
 {
     const std::string text = "0\r\n\r\n";
-    co_return co_await writeAll(text);
+    const bool sent = co_await writeAll(text);
+    m_answer = answer_progress::complete;
+    co_return sent;
 }
 
 void client_session::cut()
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -2,9 +2,13 @@
 
 #include "gateway_deployment.h"
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <sys/socket.h>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -32,6 +36,66 @@
     REQUIRE(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/safe/", "probe", "", "", key))) == 200; }));
 }
 
+// Sum of a metric of the gateway over all label sets.
+double metricOf(const deployment &site, const std::string &name)
+{
+    const std::string text = request("GET", "http://127.0.0.1:" + site.gateways[0]->listening().at("metrics_port").get<std::string>() + "/metrics").body;
+    double sum = 0;
+    for (std::size_t at = 0; at < text.size(); at = text.find('\n', at) + 1) {
+        const std::string line = text.substr(at, text.find('\n', at) - at);
+        if (!line.starts_with('#') && line.find(name) != std::string::npos) {
+            sum += std::stod(line.substr(line.rfind(' ')));
+        }
+    }
+    return sum;
+}
+
+// Client with a small receive buffer that reads an answer in steps.
+class slow_client
+{
+public:
+    explicit slow_client(const std::string &address)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const int bytes = 32 * 1024;
+        ::setsockopt(m_socket.get(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+        sockaddr_in peer{};
+        peer.sin_family = AF_INET;
+        peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+        peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(m_socket.get(), reinterpret_cast<const sockaddr *>(&peer), sizeof peer) == 0);
+    }
+    void write(const std::string &bytes) const
+    {
+        (void)::send(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    // Reads until the peer closes the connection; pauses after each part of `stepBytes`. Returns the number of bytes received.
+    std::size_t readAll(std::size_t stepBytes = 0, int pauseMs = 0) const
+    {
+        std::size_t total = 0;
+        std::size_t nextPause = stepBytes;
+        char buffer[16384];
+        while (true) {
+            pollfd entry{m_socket.get(), POLLIN, 0};
+            if (::poll(&entry, 1, 10000) <= 0) {
+                return total;
+            }
+            const ssize_t got = ::recv(m_socket.get(), buffer, sizeof buffer, 0);
+            if (got <= 0) {
+                return total;
+            }
+            total += static_cast<std::size_t>(got);
+            if (stepBytes > 0 && total >= nextPause) {
+                nextPause += stepBytes;
+                ::poll(nullptr, 0, pauseMs);
+            }
+        }
+    }
+
+private:
+    unique_fd m_socket;
+};
+
 }
 
 //-----------------------------------------------------------------------------
@@ -188,6 +252,38 @@
     CHECK(site.gateways[0]->wait() == 0);
 }
 
+TEST_CASE("a request that is unanswered at the end of a shutdown gets an error answer", "[failure]")
+{
+    scripted_server server([](raw_connection &out, const raw_request &) {
+        out.waitForClose(9000);
+        return false;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start({"instance.grace=4"});
+    json slow = limits(700, 5000);
+    slow["Routes"] = {{{"Name", "once"},
+                       {"Hostname", "h.example"},
+                       {"PathPrefix", "/once/"},
+                       {"RouteType", "non_idempotent"},
+                       {"TimeoutMs", 9000},
+                       {"LatencyGoalMs", 100},
+                       {"Service", "app"},
+                       {"MaxAttempts", 1}}};
+    slow["Tenants"] = {{{"Name", "t1"}, {"ApiKeys", {"key9"}}}};
+    site.publish(2, slow);
+    REQUIRE(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/once/", "probe", "", "", "key1"))) == 401; }));
+    const int before = server.count();
+    raw_client client(site.front());
+    client.write(makeRequest("/once/", "id1", "", "", "key9"));
+    REQUIRE(eventually([&] { return server.count() > before; }));
+    site.gateways[0]->signal(SIGTERM);
+    const std::string got = client.readUntil("\x01never", 6000);
+    CHECK(statusOf(got) == 502);
+    CHECK(got.find("X-Chestnutgw-Request-Id: id1") != std::string::npos);
+    CHECK(site.gateways[0]->wait() == 0);
+}
+
 TEST_CASE("further signals during a shutdown end no request", "[failure]")
 {
     std::atomic<bool> go = false;
@@ -212,3 +308,97 @@
     CHECK(client.readUntil("0\r\n\r\n", 7000).find("piece3") != std::string::npos);
     CHECK(site.gateways[0]->wait() == 0);
 }
+
+//-----------------------------------------------------------------------------
+// Closing after an answer
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data that arrives after the last answer does not destroy this answer", "[failure]")
+{
+    const std::string large(60'000, 'x');
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        out.write(answer(in, large));
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    slow_client client(site.front());
+    client.write(makeRequest("/once/", "id1", "Connection: close\r\n"));
+    REQUIRE(eventually([&] { return metricOf(site, "requests{") >= 1; }));
+    client.write(makeRequest("/once/", "id2"));
+    CHECK(client.readAll(16'000, 20) > large.size());
+    CHECK(server.count() == 1);
+}
+
+TEST_CASE("a client that reads a long answer slowly but steadily gets it completely", "[failure]")
+{
+    const std::string large(12'000'000, 'x');
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        out.write(answer(in, large));
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    slow_client client(site.front());
+    client.write(makeRequest("/once/", "id1", "Connection: close\r\n"));
+    CHECK(client.readAll(300'000, 200) > large.size()); // 8 s in all
+}
+
+//-----------------------------------------------------------------------------
+// Headers and logs
+//-----------------------------------------------------------------------------
+
+TEST_CASE("token counts and deadlines without a usable number do not end a request", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.addServer("i-2", "app", server.address());
+    site.start();
+    for (const std::string value : {"nan", "inf", "1e30", "1e999", "x", ""}) {
+        CAPTURE(value);
+        std::string plain = makeRequest("/safe/", "id1");
+        plain.replace(plain.find("6000"), 4, value);
+        CHECK(statusOf(exchange(site.front(), plain)) == 200);
+        std::string stream = makeRequest("/stream/", "id2");
+        stream.replace(stream.find("10,10"), 5, value + "," + value);
+        exchange(site.front(), stream);
+        CHECK(statusOf(exchange(site.front(), makeRequest("/stream/", "id3"))) == 200);
+    }
+}
+
+TEST_CASE("a request with neither a deadline nor a route timeout is answered", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    json open = limits(700, 5000);
+    open["Routes"] = {{{"Name", "open"},
+                       {"Hostname", "h.example"},
+                       {"PathPrefix", "/safe/"},
+                       {"RouteType", "safe"},
+                       {"LatencyGoalMs", 100},
+                       {"Service", "app"},
+                       {"MaxAttempts", 1}}};
+    publishAndWait(site, 2, open);
+    std::string plain = makeRequest("/safe/", "id1");
+    plain.erase(plain.find("X-Chestnutgw-Deadline-Ms"), std::string("X-Chestnutgw-Deadline-Ms: 6000\r\n").size());
+    CHECK(statusOf(exchange(site.front(), plain)) == 200);
+}
+
+TEST_CASE("logs that nobody reads end no request", "[failure]")
+{
+    scripted_server server(ANSWER_AT_ONCE);
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start({"log.lines_per_second=100000"});
+    raw_client client(site.front());
+    for (int i = 0; i < 1000; ++i) {
+        raw_client one(site.front());
+        one.write(makeRequest("/safe/", "id" + std::to_string(i)));
+        REQUIRE(statusOf(one.readUntil("hello")) == 200);
+    }
+}
