--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -124,9 +124,10 @@
 // Follower of a topic on its own event loop; the test reads the values that it reported.
 struct followed_topic
 {
-    explicit followed_topic(const store_standin &store, milliseconds outageRemovalDelay = milliseconds(0), int endpoint = 0)
+    explicit followed_topic(const store_standin &store, milliseconds outageRemovalDelay = milliseconds(0), int endpoint = 0,
+                            milliseconds wait = milliseconds(0))
         : client(loop, store.url(endpoint), counters)
-        , follower(loop, client, "keyed.servers", {milliseconds(0), milliseconds(20), outageRemovalDelay}, handler())
+        , follower(loop, client, "keyed.servers", {wait, milliseconds(20), outageRemovalDelay}, handler())
     {
         loop.run([this] { follower.start(); });
     }
@@ -248,6 +249,18 @@
     CHECK(rejected.get("a") == "2");
 }
 
+TEST_CASE("a read that began before records were merged gives its records their own offsets", "[failure]")
+{
+    store_standin store;
+    followed_topic topic(store, milliseconds(0), 0, milliseconds(5000));
+    REQUIRE(eventually([&] { return store.calls("/log-read") == 1; }));
+    topic.loop.run([&] { topic.follower.mergeRecords({{"a", {0, "1"}}}, 1); });
+    store.put("keyed.servers", "a", "1");
+    REQUIRE(eventually([&] { return store.calls("/log-read") >= 2; }));
+    store.put("keyed.servers", "a", "2");
+    CHECK(eventually([&] { return topic.get("a") == "2"; }));
+}
+
 TEST_CASE("a conditional append distinguishes executed, not executed and unknown", "[failure]")
 {
     store_standin store;
