A transfer may start inside the callback of another one

An attempt begun while the data of the failed one was being handled was never sent: libcurl accepts no new transfer inside a callback, and the refusal went unnoticed. The caller waited for the stall timeout of that attempt instead.

Such transfers are passed to libcurl once it has returned. Test: "a transfer may be started inside the callback of another one", which got no answer within 10 s before.

--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -136,6 +136,8 @@
     void runTimers();
     void collectFinished();
     void removeAborted();
+    void handleSocket(int socket, int events);
+    void addStarted();
     void checkIdleTimeout(transfer_id id);
     void setOptions(transfer &one);
 
@@ -153,6 +155,8 @@
     bool m_curlDue = false;
     std::unordered_map<transfer_id, std::unique_ptr<transfer>> m_transfers;
     std::vector<std::unique_ptr<transfer>> m_aborted;
+    std::vector<transfer_id> m_started; // inside a callback of libcurl, not passed to it yet
+    bool m_inCurl = false;              // libcurl is running and may call back
     std::thread m_thread;
 };
 
@@ -279,7 +283,10 @@
     setOptions(*one);
     transfer &placed = *one;
     m_transfers[id] = std::move(one);
-    curl_multi_add_handle(m_multi, placed.easy);
+    m_started.push_back(id);
+    if (!m_inCurl) {
+        addStarted();
+    }
     if (placed.request.idleTimeout.count() > 0) {
         checkIdleTimeout(id);
     }
@@ -290,6 +297,27 @@
     return id;
 }
 
+// libcurl accepts no new transfer inside a callback of another one. Those started there are added once it has returned.
+void event_loop::implementation::addStarted()
+{
+    for (const transfer_id id : std::exchange(m_started, {})) {
+        const auto found = m_transfers.find(id);
+        if (found != m_transfers.end()) {
+            curl_multi_add_handle(m_multi, found->second->easy);
+        }
+    }
+}
+
+// Lets libcurl handle what is ready on a socket, or its timers for CURL_SOCKET_TIMEOUT.
+void event_loop::implementation::handleSocket(int socket, int events)
+{
+    int running = 0;
+    m_inCurl = true;
+    curl_multi_socket_action(m_multi, socket, events, &running);
+    m_inCurl = false;
+    addStarted();
+}
+
 void event_loop::implementation::checkIdleTimeout(transfer_id id)
 {
     const auto found = m_transfers.find(id);
@@ -456,7 +484,6 @@
 void event_loop::implementation::loop()
 {
     std::array<epoll_event, MAX_EVENTS> events{};
-    int running = 0;
     while (!m_stopping) {
         const timespec wait = waitTime();
         const int count = epoll_pwait2(m_epoll.get(), events.data(), MAX_EVENTS, &wait, nullptr);
@@ -472,14 +499,14 @@
             action |= (event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
             action |= (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
             action |= (event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
-            curl_multi_socket_action(m_multi, event.data.fd, action, &running);
+            handleSocket(event.data.fd, action);
         }
         // What has arrived is handled before the timers, so that a delay of this thread is not taken for silence of a partner.
         collectFinished();
         runTimers();
         if (m_curlDue) {
             m_curlDue = false;
-            curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+            handleSocket(CURL_SOCKET_TIMEOUT, 0);
             collectFinished();
         }
         runTasks();
--- a/tests/kernel_test.cpp
+++ b/tests/kernel_test.cpp
@@ -45,6 +45,25 @@
     CHECK(status.get_future().get() == 200);
 }
 
+TEST_CASE("a transfer may be started inside the callback of another one", "[unit]")
+{
+    http_server server({}, [](const std::shared_ptr<http_call> &call) { call->respond({200, "text", "text/plain", {}}); });
+    event_loop loop("test");
+    http_request request;
+    request.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/";
+    std::promise<int> status;
+    loop.post([&] {
+        loop.start(request,
+                   {[&](int, std::string_view) {
+                        loop.start(request, {{}, [&](const http_result &result) { status.set_value(result.status); }});
+                    },
+                    [](const http_result &) {}});
+    });
+    std::future<int> second = status.get_future();
+    REQUIRE(second.wait_for(seconds(10)) == std::future_status::ready);
+    CHECK(second.get() == 200);
+}
+
 TEST_CASE("a destroyed HTTP server accepts no connections", "[unit]")
 {
     std::uint16_t port = 0;
