--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINT_ARGS = --extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-D__cpp_coroutines=201703L \
   --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1
 
-.PHONY: all packages build test demo format check-format lint models words clean
+.PHONY: all packages build test soak demo format check-format lint models words clean
 
 all: build
 
@@ -21,6 +21,10 @@
 test: build
 	scripts/run-tests.sh $(BUILD)
 
+# Another SEED gives another timeline. The program is part of tests/ because it starts processes.
+soak: build
+	$(BUILD)/bin/chestnutgw-soak --set soak.seed=$(or $(SEED),1) --set soak.seconds=$(or $(SECONDS),10) --set soak.folder=$(BUILD)/soak
+
 demo: build
 	scripts/demo.sh $(BUILD)
 
--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <future>
 #include <spawn.h>
 #include <stdexcept>
@@ -20,7 +21,7 @@
 
 pid_t spawn(const std::string &program, const std::vector<std::string> &arguments, int output, bool withErrors = false)
 {
-    const std::string path = std::string(CHESTNUTGW_BIN) + "/" + program;
+    const std::string path = program.find('/') != std::string::npos ? program : std::string(CHESTNUTGW_BIN) + "/" + program;
     std::vector<char *> argv{const_cast<char *>(path.c_str())};
     for (const std::string &argument : arguments) {
         argv.push_back(const_cast<char *>(argument.c_str()));
@@ -57,27 +58,45 @@
 
 }
 
-child_process::child_process(const std::string &program, const std::vector<std::string> &settings)
+child_process::child_process(const std::string &program, const std::vector<std::string> &settings, const std::string &logFile)
 {
-    int pipeEnds[2] = {};
-    if (::pipe2(pipeEnds, O_CLOEXEC) != 0) {
-        throw std::runtime_error("cannot create a pipe");
-    }
-    m_output = unique_fd(pipeEnds[0]);
-    const unique_fd writer(pipeEnds[1]);
     std::vector<std::string> arguments;
     for (const std::string &setting : settings) {
         arguments.push_back("--set");
         arguments.push_back(setting);
     }
-    m_pid = spawn(program, arguments, writer.get());
-    { // the reader sees end-of-file only after this process closes its copy of the write end
-        const unique_fd closing(std::move(const_cast<unique_fd &>(writer)));
+    if (!logFile.empty()) {
+        const unique_fd log(::open(logFile.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0644));
+        m_pid = spawn(program, arguments, log.get());
+        std::ifstream reader;
+        const bool listens = eventually([&] {
+            reader.close();
+            reader.open(logFile);
+            std::string line;
+            while (std::getline(reader, line) && !reader.eof()) {
+                if (parseListening(line)) {
+                    return true;
+                }
+            }
+            return hasEnded();
+        });
+        if (!listens || !running()) {
+            throw std::runtime_error(program + " did not report its listening address in " + logFile);
+        }
+        return;
+    }
+    int pipeEnds[2] = {};
+    if (::pipe2(pipeEnds, O_CLOEXEC) != 0) {
+        throw std::runtime_error("cannot create a pipe");
+    }
+    m_output = unique_fd(pipeEnds[0]);
+    {
+        const unique_fd writer(pipeEnds[1]); // the reader sees end-of-file only after this process closes its copy of the write end
+        m_pid = spawn(program, arguments, writer.get());
     }
     std::string line = readLine(m_output.get());
     while (line.starts_with('{')) {
-        m_listening = nlohmann::json::parse(line);
-        if (m_listening.value("event", "") == "listening") {
+        if (parseListening(line)) {
             return;
         }
         line = readLine(m_output.get());
@@ -92,6 +111,13 @@
     m_peerAddress = peers == std::string::npos ? std::string() : rest.substr(peers + 6);
 }
 
+// Returns true if the line is the structured "listening" log line.
+bool child_process::parseListening(const std::string &line)
+{
+    m_listening = nlohmann::json::parse(line);
+    return m_listening.value("event", "") == "listening";
+}
+
 child_process::child_process(child_process &&other) noexcept
     : m_pid(std::exchange(other.m_pid, -1))
     , m_output(std::move(other.m_output))
@@ -119,6 +145,15 @@
     wait();
 }
 
+bool child_process::hasEnded()
+{
+    int status = 0;
+    if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+        m_pid = -1;
+    }
+    return m_pid <= 0;
+}
+
 int child_process::wait()
 {
     if (m_pid <= 0) {
--- a/tests/process.h
+++ b/tests/process.h
@@ -15,8 +15,9 @@
 class child_process
 {
 public:
-    // Starts the program and waits until it reports its listening address on standard output.
-    child_process(const std::string &program, const std::vector<std::string> &settings);
+    // Starts the program and waits until it reports its listening address on standard output, which is written to the log file if
+    // one is given. A program without a path is one of this build.
+    child_process(const std::string &program, const std::vector<std::string> &settings, const std::string &logFile = {});
     ~child_process();
     child_process(child_process &&other) noexcept;
     child_process &operator=(child_process &&) = delete;
@@ -37,6 +38,8 @@
     }
     void signal(int number) const;
     void kill();
+    // Returns true if the process has ended, without waiting.
+    bool hasEnded();
     // Waits for the process to end. Returns its exit status, or 128 + the signal number if a signal ended it.
     int wait();
     bool running() const
@@ -45,6 +48,8 @@
     }
 
 private:
+    bool parseListening(const std::string &line);
+
     pid_t m_pid = -1;
     unique_fd m_output;
     std::string m_address;
--- /dev/null
+++ b/tests/soak/backend.h
@@ -0,0 +1,158 @@
+#pragma once
+
+// Stand-ins of backend servers: engines that hold layers and stream events, and plain servers. The rig makes them fall silent,
+// refuse, crash, restart and drain.
+
+#include "content.h"
+#include "ledger.h"
+#include "wire.h"
+
+#include "platform/standin/store_standin.h"
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <thread>
+
+namespace chestnut::soak
+{
+
+struct layer_span
+{
+    int from = 0;
+    int to = 0; // exclusive
+};
+
+struct server_plan
+{
+    std::string name;
+    std::string service;
+    layer_span held; // empty for a plain server
+};
+
+// A stage of the path of a stream.
+struct stage
+{
+    std::string address;
+    int boot = 0; // of the server when the stream began there
+    layer_span layers;
+};
+
+class backend_server;
+
+// All backend servers of a deployment. Its mutex guards the state of each of them.
+struct fleet
+{
+    ledger &book;
+    platform::store_standin &store;
+    seeded_fault fault = seeded_fault::none;
+    std::mutex mutex;
+    std::map<std::string, backend_server *> byAddress;
+};
+
+class backend_server
+{
+public:
+    backend_server(fleet &all, server_plan plan);
+    ~backend_server();
+    backend_server(const backend_server &) = delete;
+    backend_server &operator=(const backend_server &) = delete;
+
+    const server_plan &plan() const
+    {
+        return m_plan;
+    }
+    // Sends no byte for a while and then goes on.
+    void fallSilent(milliseconds length);
+    // Turns new requests away for a while.
+    void refuse(milliseconds length);
+    // Resets all connections and stops listening.
+    void crash();
+    // Starts listening again, under a new id and without layers.
+    void restart();
+    // Registers as draining.
+    void beginDrain();
+    // Stops listening and closes idle connections; requests in flight are finished.
+    void leave();
+
+private:
+    struct connection
+    {
+        explicit connection(unique_fd socket)
+            : wire(std::move(socket))
+        {
+        }
+        wire_socket wire;
+        std::thread worker;
+        bool busy = false; // with a request
+        std::atomic<bool> finished = false;
+    };
+    struct active_stream
+    {
+        std::vector<stage> path;
+        std::string stalledAt; // address of the stage that it waits for
+    };
+    struct running_request // one that this server works on
+    {
+        std::size_t entry = 0; // in the ledger
+        connection &client;
+        int boot = 0;
+        steady_time deadline;
+        std::shared_ptr<active_stream> stream; // null for plain requests
+        int events = 0;
+        bool disturbed = false;
+        run_end end = run_end::running;
+    };
+    enum class waited
+    {
+        over,
+        ended // running_request::end says why
+    };
+
+    void start();
+    void accept(int boot);
+    void serve(connection &client, int boot);
+    bool handle(connection &client, int boot, const http_message &in);
+    // Waits for a time during which this server and those on the path work.
+    waited pause(running_request &request, milliseconds length);
+    // Updates the stage that a stream waits for. Returns false if that has been down for too long.
+    bool checkStages(running_request &request);
+    bool sendPart(running_request &request, const std::string &bytes);
+    void serveStream(running_request &request, const http_message &in, const std::string &subject, const std::string &head);
+    void servePlain(running_request &request, const std::string &subject, const std::string &head);
+    std::string report(bool health);
+    std::string order(const http_message &in, std::optional<layer_span> &load);
+    std::string repath(const std::string &id, const std::string &path);
+    // Reason to turn a request away as "status\naddress at fault"; empty if there is none. Fills the path.
+    std::string obstacle(const http_message &in, std::vector<stage> &path);
+    std::string stageProblem(stage &one, bool first);
+    void list(const std::string &state);
+    std::string idLocked() const;
+    bool silentLocked() const;
+
+    fleet &m_all;
+    server_plan m_plan;
+    int m_port = 0;
+    std::string m_address;
+    // Guarded by the fleet's mutex.
+    bool m_up = false;
+    bool m_draining = false;
+    int m_boot = 0;
+    int m_sequence = 0; // orders begun since the start
+    int m_running = 0;
+    layer_span m_held;
+    steady_time m_silentUntil{};
+    steady_time m_refusesUntil{};
+    steady_time m_downSince{};
+    std::map<std::string, std::shared_ptr<active_stream>> m_streams;
+    std::list<connection> m_connections;
+    unique_fd m_listener;
+    std::thread m_acceptor;
+};
+
+// Parses "IP:PORT=FROM-TO,...".
+std::vector<stage> parsePath(const std::string &text);
+// True if the stages run each layer once and in order.
+bool coversLayers(const std::vector<stage> &path);
+
+}
--- /dev/null
+++ b/tests/soak/judges.cpp
@@ -0,0 +1,227 @@
+#include "judges.h"
+
+#include <algorithm>
+
+namespace chestnut::soak
+{
+
+namespace
+{
+
+constexpr milliseconds CONTACT{3000};       // a machine that was disturbed is in touch again after this time
+constexpr milliseconds CONFIG_APPLY{2000};  // from an acknowledgement until a configuration is in force
+constexpr milliseconds ROLLBACK_SLACK{250}; // from a configuration's first effect until all requests get it
+constexpr milliseconds DRAIN_TIME{2000};    // from an acknowledgement until a draining server gets no request
+constexpr milliseconds RELEASE_TIME{500};   // from a client's leaving until its server is released
+constexpr milliseconds LOSS_SLACK{200};     // a request that crosses the close of its connection ends sooner
+constexpr milliseconds DEADLINE_SLACK{100};
+constexpr milliseconds ARRIVAL_SLACK{100};
+constexpr std::size_t MAX_LATE_RELEASES = 2;
+
+bool isIdempotent(request_kind kind)
+{
+    return kind == request_kind::safe || kind == request_kind::stream;
+}
+
+bool isPlain(request_kind kind)
+{
+    return kind == request_kind::safe || kind == request_kind::once;
+}
+
+bool isPromise(int status)
+{
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+class judging
+{
+public:
+    explicit judging(const evidence &seen)
+        : m_seen(seen)
+    {
+    }
+
+    std::vector<finding> all()
+    {
+        for (const attempt &one : m_seen.attempts) {
+            judgeContent(one);
+            judgeLost(one);
+            judgeRuns(one);
+            judgeReleased(one);
+            judgeConfig(one);
+            judgeDrain(one);
+        }
+        if (m_late.size() > MAX_LATE_RELEASES) {
+            m_found.insert(m_found.end(), m_late.begin(), m_late.end());
+        }
+        std::stable_sort(m_found.begin(), m_found.end(), [](const finding &left, const finding &right) { return left.to < right.to; });
+        return m_found;
+    }
+
+private:
+    void report(const char *rule, const attempt &one, const std::string &text)
+    {
+        m_found.push_back({rule, one.id, one.sent, one.ended, text});
+    }
+
+    const std::vector<run> &runsOf(const attempt &one) const
+    {
+        static const std::vector<run> NONE;
+        const auto found = m_seen.runs.find(one.id);
+        return found == m_seen.runs.end() ? NONE : found->second;
+    }
+
+    // True if a party was disturbed, other than by planned work, in a span of time.
+    bool disturbed(const std::string &party, milliseconds from, milliseconds to) const
+    {
+        return std::any_of(m_seen.incidents.begin(), m_seen.incidents.end(),
+                           [&](const incident &one) { return one.party == party && !one.planned && one.from <= to && one.to >= from; });
+    }
+
+    bool inTouch(const attempt &one) const
+    {
+        return !disturbed(one.gateway, one.sent - CONTACT, one.ended) && !disturbed("rig", one.sent, one.ended);
+    }
+
+    bool storeCalm(milliseconds from, milliseconds to) const
+    {
+        return !disturbed("store", from - CONTACT, to);
+    }
+
+    void judgeContent(const attempt &one)
+    {
+        if (!one.mixed.empty()) {
+            report("MIXED", one, one.mixed);
+        }
+        if (!one.disorder.empty()) {
+            report("ORDER", one, one.disorder);
+        }
+    }
+
+    // True if the process that served the attempt came to the end of its grace period.
+    bool graceOver(const attempt &one) const
+    {
+        return std::any_of(m_seen.incidents.begin(), m_seen.incidents.end(), [&](const incident &term) {
+            return term.party == one.gateway && term.what == "terminate" && one.sent <= term.from + CONTACT && one.ended >= term.from + m_seen.grace * 5 / 6
+                && one.ended <= term.to;
+        });
+    }
+
+    void judgeLost(const attempt &one)
+    {
+        if (one.complete || one.left || one.crossed || !inTouch(one) || graceOver(one)) {
+            return;
+        }
+        const milliseconds lasted = one.ended - one.sent;
+        const std::vector<run> &runs = runsOf(one);
+        const bool excused = std::any_of(runs.begin(), runs.end(),
+                                         [](const run &seen) { return seen.end == run_end::broke_off || seen.end == run_end::late || seen.disturbed; });
+        if (excused || lasted + DEADLINE_SLACK >= one.allowed || (runs.empty() && lasted <= LOSS_SLACK)) {
+            return;
+        }
+        std::string text = std::string(toText(one.kind)) + " ended by " + one.how + " after " + std::to_string(one.events) + " events;";
+        for (const run &seen : runs) {
+            text += " " + seen.server + " at " + std::to_string(seen.arrived.count()) + (seen.executed ? " " : " turned away, ") + toText(seen.end) + " at "
+                + std::to_string(seen.ended.count()) + ";";
+        }
+        report("LOST", one, text);
+    }
+
+    void judgeRuns(const attempt &one)
+    {
+        const std::vector<run> &runs = runsOf(one);
+        const auto executed = std::count_if(runs.begin(), runs.end(), [](const run &seen) { return seen.executed; });
+        if (!isIdempotent(one.kind) && executed > 1) {
+            report("TWICE", one, std::to_string(executed) + " runs");
+        }
+        if (!isIdempotent(one.kind) && isPromise(one.status) && executed > 0) {
+            report("REFUSED", one, "answered " + std::to_string(one.status) + " and run at " + runs.front().server);
+        }
+        for (const run &seen : runs) {
+            if (!seen.flaw.empty()) {
+                report(seen.flaw.substr(0, seen.flaw.find(' ')).c_str(), one, seen.flaw.substr(seen.flaw.find(' ') + 1));
+            }
+        }
+    }
+
+    void judgeReleased(const attempt &one)
+    {
+        if (!one.left || one.kind == request_kind::once || !inTouch(one)) {
+            return;
+        }
+        for (const run &seen : runsOf(one)) {
+            if (seen.executed && seen.ended > one.ended + RELEASE_TIME && !disturbed("rig", one.ended, one.ended + RELEASE_TIME)) {
+                m_late.push_back({"GONE", one.id, one.sent, one.ended,
+                                  seen.server + " worked until " + std::to_string(seen.ended.count()) + ", " + std::to_string((seen.ended - one.ended).count())
+                                      + " ms after the client left"});
+            }
+        }
+    }
+
+    void judgeConfig(const attempt &one)
+    {
+        const std::string process = one.gateway + "." + std::to_string(one.boot) + " " + one.key;
+        if (one.status == 200 && m_seen.keys.contains(one.key)) {
+            const auto [known, added] = m_accepted.try_emplace(process, one.ended);
+            known->second = std::min(known->second, one.ended);
+        }
+        if (one.isSigned || (one.status != 401 && one.status != 403 && one.status != 404)) {
+            judgeRoute(one);
+            return;
+        }
+        const milliseconds since = m_seen.keys.at(one.key);
+        const auto accepted = m_accepted.find(process);
+        const bool regressed = accepted != m_accepted.end() && one.sent > accepted->second + ROLLBACK_SLACK;
+        const bool late = one.sent > since + CONFIG_APPLY && inTouch(one) && storeCalm(since, one.sent);
+        if (regressed || late) {
+            report("CONFIG", one,
+                   std::to_string(one.status) + " for key " + one.key + " in force since " + std::to_string(since.count())
+                       + (regressed ? ", accepted before" : ""));
+        }
+    }
+
+    // A plain request runs at a service that some configuration which may be in force allows.
+    void judgeRoute(const attempt &one)
+    {
+        if (!isPlain(one.kind) || !inTouch(one) || !storeCalm(one.sent, one.ended)) {
+            return;
+        }
+        for (const run &seen : runsOf(one)) {
+            bool allowed = false;
+            for (std::size_t i = 0; i < m_seen.configs.size(); ++i) {
+                const bool replaced = i + 1 < m_seen.configs.size() && m_seen.configs[i + 1].acknowledged + CONFIG_APPLY < one.sent;
+                allowed = allowed || (!replaced && m_seen.configs[i].acknowledged <= seen.arrived && m_seen.configs[i].services.contains(seen.service));
+            }
+            if (seen.executed && !allowed) {
+                report("CONFIG", one, "run by " + seen.service + " at " + std::to_string(seen.arrived.count()));
+            }
+        }
+    }
+
+    void judgeDrain(const attempt &one)
+    {
+        for (const run &seen : runsOf(one)) {
+            for (const incident &drain : m_seen.incidents) {
+                const bool after = drain.what == "draining" && drain.party == seen.server && seen.arrived > drain.from + DRAIN_TIME + ARRIVAL_SLACK;
+                if (after && inTouch(one) && storeCalm(drain.from, seen.arrived)) {
+                    report("DRAIN", one,
+                           seen.server + " got it at " + std::to_string(seen.arrived.count()) + ", draining since " + std::to_string(drain.from.count()));
+                }
+            }
+        }
+    }
+
+    const evidence &m_seen;
+    std::vector<finding> m_found;
+    std::vector<finding> m_late;                    // released too late
+    std::map<std::string, milliseconds> m_accepted; // process and key -> first answer
+};
+
+}
+
+std::vector<finding> judge(const evidence &seen)
+{
+    return judging(seen).all();
+}
+
+}
--- /dev/null
+++ b/tests/soak/judges.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// Judges of a soak: rules on what clients and backend servers saw.
+
+#include "ledger.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chestnut::soak
+{
+
+// What a configuration allows, from its acknowledgement on.
+struct config_record
+{
+    milliseconds acknowledged{0};
+    std::set<std::string> services; // of the plain routes
+};
+
+struct finding
+{
+    std::string rule;
+    std::string id; // of the request
+    milliseconds from{0};
+    milliseconds to{0};
+    std::string text;
+};
+
+struct evidence
+{
+    std::vector<attempt> attempts;
+    std::map<std::string, std::vector<run>> runs; // by request id
+    std::vector<incident> incidents;
+    std::vector<config_record> configs;
+    std::map<std::string, milliseconds> keys; // when they were acknowledged
+    milliseconds grace{0};                    // from SIGTERM until a process is killed
+};
+
+// All broken rules, in order of time.
+std::vector<finding> judge(const evidence &seen);
+
+}
--- /dev/null
+++ b/tests/soak/timeline.cpp
@@ -0,0 +1,194 @@
+#include "timeline.h"
+
+#include <algorithm>
+#include <array>
+#include <pcg_random.hpp>
+
+namespace chestnut::soak
+{
+
+namespace
+{
+
+constexpr milliseconds QUIET_START{1500};
+constexpr milliseconds QUIET_END{1500};
+constexpr milliseconds GATEWAY_ABSENCE{8000}; // no further event for a gateway after a signal that ends it
+constexpr milliseconds SERVER_ABSENCE{5000};  // no further crash or drain of a server
+
+class drawer
+{
+public:
+    drawer(int seed, int seconds)
+        : m_random(static_cast<std::uint64_t>(seed))
+        , m_end(milliseconds(seconds * 1000) - QUIET_END)
+    {
+    }
+
+    timeline run()
+    {
+        drawDeployment();
+        for (milliseconds at = QUIET_START; at < m_end; at += milliseconds(600 + draw(1600))) {
+            drawEpisode(at);
+        }
+        std::stable_sort(m_drawn.events.begin(), m_drawn.events.end(), [](const event &left, const event &right) { return left.at < right.at; });
+        return m_drawn;
+    }
+
+private:
+    int draw(int count)
+    {
+        return static_cast<int>(m_random(static_cast<std::uint32_t>(count)));
+    }
+
+    void drawDeployment()
+    {
+        m_drawn.gateways = 2 + draw(3);
+        m_drawn.clients = 16 + draw(17);
+        const int engines = 4 + draw(5);
+        for (int covers = 0; covers < 2 || static_cast<int>(m_drawn.servers.size()) < engines; ++covers) {
+            if (draw(2) == 0) {
+                addEngine({0, LAYERS});
+            } else {
+                const int split = 1 + draw(LAYERS - 1);
+                addEngine({0, split});
+                addEngine({split, LAYERS});
+            }
+        }
+        const int plain = 2 + draw(2);
+        for (int i = 0; i < plain; ++i) {
+            m_drawn.servers.push_back({"p" + std::to_string(i), i % 2 == 0 ? "app" : "app2", {}});
+        }
+        m_serverFree.resize(m_drawn.servers.size());
+        m_gatewayFree.resize(static_cast<std::size_t>(m_drawn.gateways));
+    }
+
+    void addEngine(layer_span held)
+    {
+        m_drawn.servers.push_back({"e" + std::to_string(m_drawn.servers.size()), "lm", held});
+    }
+
+    action drawAction()
+    {
+        constexpr std::array<std::pair<action, int>, 10> WEIGHTS{{{action::silence, 32},
+                                                                  {action::refuse, 16},
+                                                                  {action::crash, 7},
+                                                                  {action::drain, 7},
+                                                                  {action::reconfigure, 16},
+                                                                  {action::hangup, 4},
+                                                                  {action::terminate, 7},
+                                                                  {action::freeze, 3},
+                                                                  {action::kill, 3},
+                                                                  {action::store, 5}}};
+        int left = draw(100);
+        for (const auto &[what, weight] : WEIGHTS) {
+            left -= weight;
+            if (left < 0) {
+                return what;
+            }
+        }
+        return action::silence;
+    }
+
+    // Alone, as a series of one kind, or several at about the same time.
+    void drawEpisode(milliseconds at)
+    {
+        const int style = draw(3);
+        const int count = style == 0 ? 1 : 2 + draw(3);
+        action what = drawAction();
+        for (int i = 0; i < count; ++i) {
+            add(at, what);
+            at += milliseconds(style == 1 ? 300 + draw(500) : draw(250));
+            what = style == 1 ? what : drawAction();
+        }
+    }
+
+    void add(milliseconds at, action what)
+    {
+        event one{at, what, 0, milliseconds(0), draw(1000)};
+        const bool ofServer = what == action::silence || what == action::refuse || what == action::crash || what == action::drain;
+        const bool ofGateway = what == action::hangup || what == action::terminate || what == action::freeze || what == action::kill;
+        one.target = draw(ofServer ? static_cast<int>(m_drawn.servers.size()) : m_drawn.gateways);
+        switch (what) {
+        case action::silence:
+            one.length = milliseconds(800 + draw(700));
+            break;
+        case action::refuse:
+            one.length = milliseconds(500 + draw(2000));
+            break;
+        case action::freeze:
+            one.length = milliseconds(200 + draw(1500));
+            break;
+        case action::store:
+            one.length = milliseconds(300 + draw(2500));
+            break;
+        default:
+            one.length = milliseconds(200 + draw(1200)); // until the restart
+        }
+        const auto target = static_cast<std::size_t>(one.target);
+        if (ofServer && at < m_serverFree[target]) {
+            return;
+        }
+        if (ofGateway && (at < m_gatewayFree[target] || !othersRemain(at, target))) {
+            return;
+        }
+        if (what == action::crash || what == action::drain) {
+            m_serverFree[target] = at + SERVER_ABSENCE;
+        }
+        if (ofGateway && what != action::hangup) {
+            m_gatewayFree[target] = at + GATEWAY_ABSENCE;
+        }
+        m_drawn.events.push_back(one);
+    }
+
+    // True if another gateway is up.
+    bool othersRemain(milliseconds at, std::size_t target) const
+    {
+        for (std::size_t i = 0; i < m_gatewayFree.size(); ++i) {
+            if (i != target && at >= m_gatewayFree[i]) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    pcg32 m_random;
+    milliseconds m_end;
+    timeline m_drawn;
+    std::vector<milliseconds> m_serverFree;
+    std::vector<milliseconds> m_gatewayFree;
+};
+
+}
+
+const char *toText(action what)
+{
+    static constexpr const char *NAMES[] = {"silence", "refuse", "crash", "drain", "reconfigure", "hangup", "terminate", "freeze", "kill", "store"};
+    return NAMES[static_cast<int>(what)];
+}
+
+const char *toText(config_change what)
+{
+    static constexpr const char *NAMES[] = {"weight", "timeout", "idle limit", "new key", "many routes"};
+    return NAMES[static_cast<int>(what)];
+}
+
+timeline drawTimeline(int seed, int seconds)
+{
+    return drawer(seed, seconds).run();
+}
+
+std::string describe(const timeline &drawn, const event &one)
+{
+    const bool ofServer = one.what == action::silence || one.what == action::refuse || one.what == action::crash || one.what == action::drain;
+    std::string text = std::to_string(one.at.count()) + " ms: " + toText(one.what) + " ";
+    if (ofServer) {
+        text += drawn.servers[static_cast<std::size_t>(one.target)].name;
+    } else if (one.what == action::reconfigure) {
+        return text + toText(static_cast<config_change>(one.variant % 5));
+    } else if (one.what != action::store) {
+        text += "g" + std::to_string(one.target);
+    }
+    return text + " for " + std::to_string(one.length.count()) + " ms";
+}
+
+}
