--- /dev/null
+++ b/scripts/prove-soak.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Checks that each judge of the soak catches the fault that is seeded for it: prove-soak.sh [BUILD] [SEED].
+set -uo pipefail
+cd "$(dirname "$0")/.."
+BUILD=${1:-build}
+SEED=${2:-1}
+failed=0
+for proof in twice:TWICE drop_event:ORDER foreign:MIXED ran:REFUSED keep_on:GONE break_off:LOST lost_key:CONFIG late_drain:DRAIN gap:LAYERS; do
+    fault=${proof%%:*}
+    rule=${proof##*:}
+    out=$("$BUILD/bin/chestnutgw-soak" --set "soak.seed=$SEED" --set soak.seconds=10 --set "soak.folder=$BUILD/soak-$fault" --set "soak.fault=$fault" | tail -1)
+    if grep -q " $rule " <<< "$out"; then
+        echo "$fault: caught ($out)"
+    else
+        echo "$fault: NOT caught as $rule ($out)"
+        failed=1
+    fi
+done
+exit $failed
--- a/tests/soak/judges.cpp
+++ b/tests/soak/judges.cpp
@@ -41,7 +41,7 @@
     {
     }
 
-    std::vector<finding> all()
+    verdicts all()
     {
         for (const attempt &one : m_seen.attempts) {
             judgeContent(one);
@@ -52,16 +52,16 @@
             judgeDrain(one);
         }
         if (m_late.size() > MAX_LATE_RELEASES) {
-            m_found.insert(m_found.end(), m_late.begin(), m_late.end());
+            m_result.broken.insert(m_result.broken.end(), m_late.begin(), m_late.end());
         }
-        std::stable_sort(m_found.begin(), m_found.end(), [](const finding &left, const finding &right) { return left.to < right.to; });
-        return m_found;
+        std::stable_sort(m_result.broken.begin(), m_result.broken.end(), [](const finding &left, const finding &right) { return left.to < right.to; });
+        return m_result;
     }
 
 private:
     void report(const char *rule, const attempt &one, const std::string &text)
     {
-        m_found.push_back({rule, one.id, one.sent, one.ended, text});
+        m_result.broken.push_back({rule, one.id, one.sent, one.ended, text});
     }
 
     const std::vector<run> &runsOf(const attempt &one) const
@@ -107,20 +107,41 @@
         });
     }
 
+    // Reason for which an incomplete answer is not counted, empty if there is none.
+    std::string excuse(const attempt &one) const
+    {
+        const milliseconds lasted = one.ended - one.sent;
+        const std::vector<run> &runs = runsOf(one);
+        const auto ended = [&](run_end end) { return std::any_of(runs.begin(), runs.end(), [end](const run &seen) { return seen.end == end; }); };
+        if (one.crossed || (runs.empty() && lasted <= LOSS_SLACK)) {
+            return "not read";
+        }
+        if (!inTouch(one)) {
+            return "gateway disturbed";
+        }
+        if (graceOver(one)) {
+            return "grace period over";
+        }
+        if (ended(run_end::broke_off)) {
+            return "server broke off";
+        }
+        if (std::any_of(runs.begin(), runs.end(), [](const run &seen) { return seen.disturbed; })) {
+            return "stage down";
+        }
+        return ended(run_end::late) || lasted + DEADLINE_SLACK >= one.allowed ? "deadline" : "";
+    }
+
     void judgeLost(const attempt &one)
     {
-        if (one.complete || one.left || one.crossed || !inTouch(one) || graceOver(one)) {
+        if (one.complete || one.left) {
             return;
         }
-        const milliseconds lasted = one.ended - one.sent;
-        const std::vector<run> &runs = runsOf(one);
-        const bool excused = std::any_of(runs.begin(), runs.end(),
-                                         [](const run &seen) { return seen.end == run_end::broke_off || seen.end == run_end::late || seen.disturbed; });
-        if (excused || lasted + DEADLINE_SLACK >= one.allowed || (runs.empty() && lasted <= LOSS_SLACK)) {
+        if (const std::string reason = excuse(one); !reason.empty()) {
+            ++m_result.excused[reason];
             return;
         }
         std::string text = std::string(toText(one.kind)) + " ended by " + one.how + " after " + std::to_string(one.events) + " events;";
-        for (const run &seen : runs) {
+        for (const run &seen : runsOf(one)) {
             text += " " + seen.server + " at " + std::to_string(seen.arrived.count()) + (seen.executed ? " " : " turned away, ") + toText(seen.end) + " at "
                 + std::to_string(seen.ended.count()) + ";";
         }
@@ -212,14 +233,14 @@
     }
 
     const evidence &m_seen;
-    std::vector<finding> m_found;
+    verdicts m_result;
     std::vector<finding> m_late;                    // released too late
     std::map<std::string, milliseconds> m_accepted; // process and key -> first answer
 };
 
 }
 
-std::vector<finding> judge(const evidence &seen)
+verdicts judge(const evidence &seen)
 {
     return judging(seen).all();
 }
--- a/tests/soak/judges.h
+++ b/tests/soak/judges.h
@@ -37,7 +37,12 @@
     milliseconds grace{0};                    // from SIGTERM until a process is killed
 };
 
-// All broken rules, in order of time.
-std::vector<finding> judge(const evidence &seen);
+struct verdicts
+{
+    std::vector<finding> broken;        // in order of time
+    std::map<std::string, int> excused; // incomplete answers that break no rule, by reason
+};
+
+verdicts judge(const evidence &seen);
 
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -82,7 +82,10 @@
     for (const auto &[end, count] : ends) {
         std::cout << "  " << end << ": " << count << '\n';
     }
-    const std::vector<finding> broken = judge(seen);
+    const auto [broken, excused] = judge(seen);
+    for (const auto &[reason, count] : excused) {
+        std::cout << "  incomplete, not counted, " << reason << ": " << count << '\n';
+    }
     std::map<std::string, int> rules;
     for (const finding &one : broken) {
         if (++rules[one.rule] <= static_cast<int>(MAX_FINDINGS_SHOWN)) {
--- a/tests/soak/timeline.cpp
+++ b/tests/soak/timeline.cpp
@@ -89,10 +89,13 @@
         return action::silence;
     }
 
-    // Alone, as a series of one kind, or several at about the same time.
+    // Alone, as a series of one kind, several at about the same time, or a silence while the other servers of the service refuse.
     void drawEpisode(milliseconds at)
     {
-        const int style = draw(3);
+        const int style = draw(4);
+        if (style == 3) {
+            return drawSilenceBesideRefusals(at);
+        }
         const int count = style == 0 ? 1 : 2 + draw(3);
         action what = drawAction();
         for (int i = 0; i < count; ++i) {
@@ -102,12 +105,30 @@
         }
     }
 
+    void drawSilenceBesideRefusals(milliseconds at)
+    {
+        const int silent = draw(static_cast<int>(m_drawn.servers.size()));
+        for (int i = 0; i < static_cast<int>(m_drawn.servers.size()); ++i) {
+            const bool same = m_drawn.servers[static_cast<std::size_t>(i)].service == m_drawn.servers[static_cast<std::size_t>(silent)].service;
+            if (i == silent) {
+                add(at, action::silence, i);
+            } else if (same && draw(8) != 0) {
+                add(at - milliseconds(draw(300)), action::refuse, i);
+            }
+        }
+    }
+
     void add(milliseconds at, action what)
     {
-        event one{at, what, 0, milliseconds(0), draw(1000)};
+        const bool ofServer = what == action::silence || what == action::refuse || what == action::crash || what == action::drain;
+        add(at, what, draw(ofServer ? static_cast<int>(m_drawn.servers.size()) : m_drawn.gateways));
+    }
+
+    void add(milliseconds at, action what, int number)
+    {
+        event one{at, what, number, milliseconds(0), draw(1000)};
         const bool ofServer = what == action::silence || what == action::refuse || what == action::crash || what == action::drain;
         const bool ofGateway = what == action::hangup || what == action::terminate || what == action::freeze || what == action::kill;
-        one.target = draw(ofServer ? static_cast<int>(m_drawn.servers.size()) : m_drawn.gateways);
         switch (what) {
         case action::silence:
             one.length = milliseconds(800 + draw(700));
