A server that takes no data for some seconds is not given up

Callers of a sound server that read a long body late got 502: after 1.5 s without an acknowledgement, or with a closed receive window, TCP_USER_TIMEOUT closed the connection, though the server went on afterwards. A silence of a second or two is no reason to end a request; a request that may be repeated has its own time limit for each attempt.

What it costs: a request that may not be repeated, at a server that has vanished without a reset, waits for up to 4 s, or its own limit, in place of 1.5 s.

The test (a 12 MB body to a server that reads nothing for 2.5 s) failed before with 502 'answer_lost'; it passes now.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -25,7 +25,7 @@
 
 constexpr milliseconds DEFAULT_REUSE{3000}; // lifetime of an idle connection if the server sends no Keep-Alive timeout
 constexpr milliseconds REUSE_MARGIN{700};   // subtracted from the server's Keep-Alive timeout
-constexpr milliseconds USER_TIMEOUT{1500};  // unacknowledged data closes the connection after this time (TCP_USER_TIMEOUT)
+constexpr milliseconds USER_TIMEOUT{4000};  // unacknowledged data closes the connection after this time (TCP_USER_TIMEOUT); a sound server may pause
 constexpr std::size_t PIECE_BYTES = 16 * 1024;
 constexpr std::size_t ANSWER_HEADER_BYTES = 64 * 1024;
 constexpr std::size_t MAX_IDLE_PER_SERVER = 48;
