Missing load reports eject a server only if they follow one another

A sound server that was silent for a second now and then was ejected at the third missing load report, however many reports had come between, and stayed so until a stream through it succeeded; where it alone held layers, callers got 503 refused_no_chain. Missing reports counted as failed attempts, which only a first token clears.

Missing reports are counted apart; the next report clears them and ends an ejection for them alone. Failed attempts eject as before. Test: "missing load reports eject a server only if they follow one another", which failed while they counted as failed attempts; "load reports do not end an ejection for failed attempts".

--- a/src/core/chestnutgw.h
+++ b/src/core/chestnutgw.h
@@ -321,7 +321,9 @@
     int endedSinceReport = 0;            // streams of this instance ended after the report
     double delayFactor = 1;              // ratio of measured service time to the time predicted from reports, smoothed
     int failures = 0;                    // consecutive failed attempts of this instance
+    int missedReports = 0;               // consecutive load reports that did not arrive
     steady_time ejectedUntil;            // no new work before this time
+    bool ejectedForReports = false;      // ejected for missed reports only; the next report ends that
     int probes = 0;                      // streams of this instance sent since the ejection ended
 
     // Reason why the server gets no new work at this time; empty if it is usable.
@@ -350,6 +352,8 @@
     void recordEnd(const server_id &id);
     // Counts a failed attempt. Repeated failures eject the server, unless too large a share of the fleet is ejected already.
     void recordFailure(const server_id &id, steady_time now);
+    // Counts a load report that did not arrive. Like recordFailure(), but the next report clears it.
+    void recordMissedReport(const server_id &id, steady_time now);
     // Clears the failure count and the ejection.
     void recordSuccess(const server_id &id);
     // Adds a measured one-way delay in ms; an empty `from` means the link from this instance.
@@ -360,6 +364,8 @@
     int ejectedCount(steady_time now) const;
 
 private:
+    bool eject(fleet_server &server, int failures, steady_time now);
+
     std::map<std::pair<server_id, server_id>, link_estimate> m_links;
     std::map<server_id, link_estimate> m_inbound; // by target, over all sources
 };
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr int FAILURES_TO_EJECT = 3;        // consecutive failed attempts
+constexpr int FAILURES_TO_EJECT = 3;        // consecutive failed attempts, or consecutive missed reports
 constexpr double MAX_EJECTED_SHARE = 0.34;  // maximum share of the servers that may be ejected at a time
 constexpr milliseconds EJECTION_TIME{2000}; // duration of the first ejection; doubles with each further failure
 constexpr int MAX_EJECTION_DOUBLINGS = 4;   // at most 32 s
@@ -80,6 +80,22 @@
     server.reportedAt = now;
     server.startedSinceReport = 0;
     server.endedSinceReport = 0;
+    server.missedReports = 0;
+    if (server.ejectedForReports) {
+        server.ejectedForReports = false;
+        server.ejectedUntil = steady_time();
+    }
+}
+
+void fleet::recordMissedReport(const server_id &id, steady_time now)
+{
+    const auto found = servers.find(id);
+    if (found == servers.end()) {
+        return;
+    }
+    fleet_server &server = found->second;
+    ++server.missedReports;
+    server.ejectedForReports = eject(server, server.missedReports, now) || server.ejectedForReports;
 }
 
 void fleet::recordStart(const server_id &id)
@@ -108,15 +124,24 @@
     }
     fleet_server &server = found->second;
     ++server.failures;
-    if (server.failures < FAILURES_TO_EJECT || now < server.ejectedUntil) {
-        return;
+    if (eject(server, server.failures, now)) {
+        server.ejectedForReports = false;
+    }
+}
+
+// Ejects a server after enough failures. Returns false if it is ejected already, or too many are.
+bool fleet::eject(fleet_server &server, int failures, steady_time now)
+{
+    if (failures < FAILURES_TO_EJECT || now < server.ejectedUntil) {
+        return false;
     }
     const int cap = std::max(1, static_cast<int>(static_cast<double>(servers.size()) * MAX_EJECTED_SHARE));
     if (ejectedCount(now) >= cap) {
-        return;
+        return false;
     }
-    const int doublings = std::min(server.failures - FAILURES_TO_EJECT, MAX_EJECTION_DOUBLINGS);
+    const int doublings = std::min(failures - FAILURES_TO_EJECT, MAX_EJECTION_DOUBLINGS);
     server.ejectedUntil = now + EJECTION_TIME * (1 << doublings);
+    return true;
 }
 
 void fleet::recordSuccess(const server_id &id)
--- a/src/entry/load_monitor.cpp
+++ b/src/entry/load_monitor.cpp
@@ -50,7 +50,7 @@
     const steady_time now = std::chrono::steady_clock::now();
     if (!report) {
         m_shared.counters.count("chestnutgw_report_failures_total");
-        m_shared.servers.with([&](fleet &servers) { servers.recordFailure(id, now); });
+        m_shared.servers.with([&](fleet &servers) { servers.recordMissedReport(id, now); });
         return;
     }
     bool &leaving = m_leaving[id];
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -110,6 +110,38 @@
     CHECK(a.unusableReason(later).empty());
 }
 
+TEST_CASE("missing load reports eject a server only if they follow one another", "[unit]")
+{
+    fleet servers;
+    addServer(servers, "a", {0, 20}, 0.1);
+    const server_id id{"a"};
+    const server_report report = *servers.servers[id].report;
+    for (int i = 0; i < 5; ++i) {
+        servers.recordMissedReport(id, NOW);
+        servers.recordReport(id, report, NOW);
+    }
+    CHECK(chosenServers(servers, "predicted") == "a ");
+    for (int i = 0; i < 3; ++i) {
+        servers.recordMissedReport(id, NOW);
+    }
+    CHECK(servers.servers[id].unusableReason(NOW) == "ejected");
+    servers.recordReport(id, report, NOW);
+    CHECK(chosenServers(servers, "predicted") == "a ");
+}
+
+TEST_CASE("load reports do not end an ejection for failed attempts", "[unit]")
+{
+    fleet servers;
+    addServer(servers, "a", {0, 20}, 0.1);
+    const server_id id{"a"};
+    const server_report report = *servers.servers[id].report;
+    for (int i = 0; i < 3; ++i) {
+        servers.recordFailure(id, NOW);
+        servers.recordReport(id, report, NOW);
+    }
+    CHECK(servers.servers[id].unusableReason(NOW) == "ejected");
+}
+
 TEST_CASE("a session takes each token once, in order, from the current attempt only", "[unit]")
 {
     pipeline_chain chain;
