Tests publish the first sheet once the instance has read the log

An instance that has not read the log yet answers a sheet with 409 stale, since it does not know the base. A cluster of one instance met that in one of three runs of a test here; the sheet is posted again until the answer is another one.

--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -154,8 +154,12 @@
 
 void cluster::publish()
 {
-    const http_result result = request("POST", url(0) + "/operator/sheets", sheet());
-    if (!result.ok()) {
+    http_result result;
+    const auto settled = [&] {
+        result = request("POST", url(0) + "/operator/sheets", sheet());
+        return result.status != 409; // an instance that has not read the log yet does not know the base
+    };
+    if (!eventually(settled) || !result.ok()) {
         throw std::runtime_error("publishing the sheet failed: " + result.error + result.body);
     }
     const bool active = eventually([this] {
