A stalled attempt ends only when another one has gone on

Callers lost answers of sound engines: after 300 ms to 2 s without a token the attempt was cancelled, and only then the retry budget, the attempts left and the other chains were looked at.

The stalled attempt goes on, and a challenger runs beside it on another chain. The first of the two that sends a token or the end is the current attempt, and the other is released; the retry is taken from the budget before the challenger starts, and the last attempt is kept for a failure. If the current attempt fails, the challenger takes its place. A silent server counts as failed only when it has been overtaken. Events of an attempt that has ended are dropped by the attempt's own number, so that several bad events in one piece cost one retry, and an answer with all its tokens is complete though its end is lost.

--- a/spec/pipeline.pml
+++ b/spec/pipeline.pml
@@ -1,18 +1,21 @@
 /* Pipeline attempts. Steps are named after src/core/session.cpp.
  *
  * A request for three tokens over at most two attempts. The chain of each attempt sends tokens that may arrive late, after
- * a newer attempt has begun. A chain may run a layer with the wrong version (an engine swapped it): the token is then
+ * a newer attempt has begun. An attempt may run beside the current one as a challenger; the first of the two that goes on is
+ * the current attempt. A chain may run a layer with the wrong version (an engine swapped it): the token is then
  * marked invalid. Engines sample, so two attempts may choose different tokens and an answer must not mix them. A token may
  * follow the one before it if both belong to the same attempt, or if its attempt began at that index.
  * The caller must get tokens 0, 1, 2 once each, in order and all valid, or no end mark.
  *
- * FAULTS: NO_ATTEMPT_CHECK NO_RANGE_CHECK NO_INDEX_CHECK NO_COUNT_CHECK
+ * FAULTS: NO_ATTEMPT_CHECK NO_RANGE_CHECK NO_INDEX_CHECK NO_COUNT_CHECK CHALLENGER_KEPT
  */
 #define TOKENS 3
 #define ATTEMPTS 2
 
-chan wire = [3] of { byte, byte, bool }; /* attempt, index (TOKENS = end mark), valid */
+chan wire = [2] of { byte, byte, bool }; /* attempt, index (TOKENS = end mark), valid */
 byte attempt = 0;              /* the current attempt */
+byte challenger = 0;           /* the attempt beside it, 0 = none */
+byte lastBegun = 0;            /* highest attempt */
 byte delivered = 0;            /* tokens passed on to the caller */
 bool ended = false;            /* the end mark was passed on */
 bool wrong = false;            /* the caller got a token out of order, invalid or mixed in from another attempt */
@@ -54,18 +57,58 @@
 /* Step BEGIN */
 inline begin()
 {
-    attempt++;
+    lastBegun++;
+    attempt = lastBegun;
+    challenger = 0;
     startIndex[attempt] = delivered;
     run chain(attempt, delivered)
 }
 
+/* Step CHALLENGE */
+inline challenge()
+{
+    lastBegun++;
+    challenger = lastBegun;
+    startIndex[challenger] = delivered;
+    run chain(challenger, delivered)
+}
+
+/* The challenger takes the place of the current attempt. */
+inline promote()
+{
+    attempt = challenger;
+    challenger = 0
+}
+
+/* An attempt broke the protocol and ends. */
+inline reject(tokenAttempt)
+{
+    if
+    :: tokenAttempt == challenger -> challenger = 0
+    :: tokenAttempt != challenger && challenger != 0 -> promote()
+    :: tokenAttempt != challenger && challenger == 0 -> violation = true
+    fi
+}
+
+/* An attempt went on: the other one ends. */
+inline goOn(tokenAttempt)
+{
+    if
+    :: tokenAttempt == challenger -> promote()
+    :: else -> skip
+    fi;
+#ifndef CHALLENGER_KEPT
+    challenger = 0
+#endif
+}
+
 /* Step ACCEPT */
 inline accept(tokenAttempt, tokenIndex, tokenValid)
 {
     if
 #ifndef NO_ATTEMPT_CHECK
-    :: tokenAttempt != attempt || ended -> skip /* stale */
-    :: tokenAttempt == attempt && !ended ->
+    :: (tokenAttempt != attempt && tokenAttempt != challenger) || ended -> skip /* stale */
+    :: (tokenAttempt == attempt || tokenAttempt == challenger) && !ended ->
 #else
     :: ended -> skip
     :: !ended ->
@@ -75,21 +118,21 @@
             /* Step COMPLETE */
             if
 #ifndef NO_COUNT_CHECK
-            :: delivered == TOKENS -> ended = true
-            :: delivered != TOKENS -> violation = true
+            :: delivered == TOKENS -> goOn(tokenAttempt); ended = true
+            :: delivered != TOKENS -> reject(tokenAttempt)
 #else
             :: ended = true
 #endif
             fi
 #ifndef NO_INDEX_CHECK
-        :: tokenIndex < TOKENS && tokenIndex != delivered -> violation = true
+        :: tokenIndex < TOKENS && tokenIndex != delivered -> reject(tokenAttempt)
         :: tokenIndex < TOKENS && tokenIndex == delivered ->
 #else
         :: tokenIndex < TOKENS ->
 #endif
             if
 #ifndef NO_RANGE_CHECK
-            :: !tokenValid -> violation = true
+            :: !tokenValid -> reject(tokenAttempt)
             :: tokenValid ->
 #else
             :: true ->
@@ -99,6 +142,7 @@
                    (tokenAttempt != lastAttempt && tokenIndex != startIndex[tokenAttempt]) -> wrong = true
                 :: else -> skip
                 fi;
+                goOn(tokenAttempt);
                 lastAttempt = tokenAttempt;
                 delivered++
             fi
@@ -113,9 +157,12 @@
     do
     :: wire ?? 1, msgIndex, msgValid -> msgAttempt = 1; accept(msgAttempt, msgIndex, msgValid)
     :: wire ?? 2, msgIndex, msgValid -> msgAttempt = 2; accept(msgAttempt, msgIndex, msgValid)
-    :: (violation || !ended) && attempt < ATTEMPTS -> violation = false; begin() /* no message, or a void attempt */
-    :: violation && attempt == ATTEMPTS -> break /* the caller gets an error */
-    :: ended || (attempt == ATTEMPTS && empty(wire)) -> break
+    :: (violation || !ended) && lastBegun < ATTEMPTS -> violation = false; begin() /* no message, or a void attempt */
+    :: !violation && !ended && challenger == 0 && lastBegun < ATTEMPTS -> challenge() /* the current attempt stalls */
+    :: challenger != 0 -> promote()      /* the current attempt failed */
+    :: challenger != 0 -> challenger = 0 /* the challenger failed */
+    :: violation && lastBegun == ATTEMPTS -> break /* the caller gets an error */
+    :: ended || (lastBegun == ATTEMPTS && empty(wire)) -> break
     od;
     assert(!wrong);
     assert(!ended || delivered == TOKENS)
--- a/src/core/chestnutgw.h
+++ b/src/core/chestnutgw.h
@@ -440,7 +440,7 @@
 enum class token_verdict
 {
     deliver,   // next token of the answer
-    stale,     // from an earlier attempt or after the end: drop
+    stale,     // from an ended attempt or after the end: drop
     violation, // out of order, wrong layers or wrong version: abort the attempt
 };
 
@@ -453,10 +453,17 @@
     // Starts a new attempt on a chain; from then on, events of earlier attempts are stale. Throws std::invalid_argument if the
     // chain does not cover the layers of the model once, in order.
     attempt_number begin(const pipeline_chain &chain);
+    // Starts a second attempt beside the current one. The first of the two that delivers a token or the end of the answer is the
+    // current attempt from then on, and the other one's events are stale. Throws like begin().
+    attempt_number challenge(const pipeline_chain &chain);
+    // Makes the second attempt the current one, whose chain has failed. Without a second attempt nothing changes.
+    void promoteChallenger();
+    // Ends the second attempt.
+    void withdrawChallenger();
     // Checks a token and appends it to the answer if the verdict is deliver.
     token_verdict accept(const token_event &event);
-    // Records the end of the answer. Returns false and changes nothing if the attempt is not the current one, the answer is complete
-    // already, the token count differs, or the reason is neither "stop" nor "length" at the token limit.
+    // Records the end of the answer. Returns false and changes nothing if the attempt is neither the current nor the second one, the
+    // answer is complete already, the token count differs, or the reason is neither "stop" nor "length" at the token limit.
     bool complete(attempt_number attempt, int tokens, const std::string &reason);
 
     const request_id &id() const
@@ -493,8 +500,11 @@
     int m_layers;
     std::string m_version;
     int m_maxTokens;
-    attempt_number m_attempt;
-    pipeline_chain m_chain;
+    attempt_number m_attempt;    // the current one
+    pipeline_chain m_chain;      // of the current attempt
+    attempt_number m_challenger; // the second attempt, 0 = none
+    pipeline_chain m_challengerChain;
+    attempt_number m_lastAttempt; // highest number given
     std::vector<std::string> m_tokens;
     std::string m_finishReason;
 };
--- a/src/core/session.cpp
+++ b/src/core/session.cpp
@@ -51,21 +51,53 @@
     if (!coversAllLayers(chain, m_layers)) {
         throw std::invalid_argument("the chain does not cover the layers of the model once, in order");
     }
+    withdrawChallenger();
     m_chain = chain;
-    ++m_attempt.value;
+    m_attempt = attempt_number{++m_lastAttempt.value};
     return m_attempt;
 }
 
+// Step CHALLENGE of spec/pipeline.pml.
+attempt_number pipeline_session::challenge(const pipeline_chain &chain)
+{
+    if (!coversAllLayers(chain, m_layers)) {
+        throw std::invalid_argument("the chain does not cover the layers of the model once, in order");
+    }
+    m_challengerChain = chain;
+    m_challenger = attempt_number{++m_lastAttempt.value};
+    return m_challenger;
+}
+
+void pipeline_session::promoteChallenger()
+{
+    if (m_challenger.value != 0) {
+        m_attempt = m_challenger;
+        m_chain = std::move(m_challengerChain);
+        withdrawChallenger();
+    }
+}
+
+void pipeline_session::withdrawChallenger()
+{
+    m_challenger = attempt_number{};
+    m_challengerChain = pipeline_chain();
+}
+
 // Step ACCEPT of spec/pipeline.pml.
 token_verdict pipeline_session::accept(const token_event &event)
 {
-    if (event.attempt != m_attempt || isComplete()) {
+    const bool challenger = m_challenger.value != 0 && event.attempt == m_challenger;
+    if ((event.attempt != m_attempt && !challenger) || isComplete()) {
         return token_verdict::stale;
     }
     const bool inOrder = event.index == static_cast<int>(m_tokens.size()) && event.index < m_maxTokens;
-    if (!inOrder || event.version != m_version || !matchesChain(event.ranges, m_chain)) {
+    if (!inOrder || event.version != m_version || !matchesChain(event.ranges, challenger ? m_challengerChain : m_chain)) {
         return token_verdict::violation;
     }
+    if (challenger) {
+        promoteChallenger();
+    }
+    withdrawChallenger(); // it began at the index of this token
     m_tokens.push_back(event.text);
     return token_verdict::deliver;
 }
@@ -74,9 +106,14 @@
 bool pipeline_session::complete(attempt_number attempt, int tokens, const std::string &reason)
 {
     const bool isFullAnswer = tokens == static_cast<int>(m_tokens.size()) && (reason == "stop" || (reason == "length" && tokens == m_maxTokens));
-    if (attempt != m_attempt || isComplete() || !isFullAnswer) {
+    const bool challenger = m_challenger.value != 0 && attempt == m_challenger;
+    if ((attempt != m_attempt && !challenger) || isComplete() || !isFullAnswer) {
         return false;
     }
+    if (challenger) {
+        promoteChallenger();
+    }
+    withdrawChallenger();
     m_finishReason = reason;
     return true;
 }
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -30,8 +30,8 @@
     std::string routingPolicy = "predicted"; // plug-in: predicted, least_outstanding, round_robin or random
     milliseconds reportInterval{500};        // between fetches of a backend server's load report
     milliseconds defaultDeadline{60'000};    // for client accounts that set none
-    milliseconds firstTokenTimeout{2'000};   // an attempt fails if its first token takes longer
-    milliseconds tokenTimeout{1'000};        // upper bound on the wait for the next token; shorter for fast streams
+    milliseconds firstTokenTimeout{2'000};   // an attempt whose first token takes longer has stalled
+    milliseconds tokenTimeout{1'000};        // an attempt whose next token takes longer has stalled; shorter for fast streams
     int maxAttempts = 8;                     // limit on the attempts of one request
     double retryShare = 0.2;                 // retries per first attempt
     bool admission = true;                   // refuse requests that cannot meet their deadline; off = admit all, as a baseline
--- a/src/entry/pipeline_driver.cpp
+++ b/src/entry/pipeline_driver.cpp
@@ -3,6 +3,7 @@
 #include "entry/pipeline_driver.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chestnut
 {
@@ -10,9 +11,11 @@
 namespace
 {
 
-constexpr milliseconds CHAIN_POLL_INTERVAL{100};  // between searches while no chain covers the model
-constexpr double STALL_INTERVAL_FACTOR = 10;      // a stream has stalled after this many of its smoothed token intervals without a token
-constexpr milliseconds MIN_STALL_TIMEOUT{300};    // lower bound of that timeout
+constexpr milliseconds CHAIN_POLL_INTERVAL{100}; // between searches while no chain covers the model, and between looks at a stalled stream
+constexpr double STALL_INTERVAL_FACTOR = 10;     // a stream has stalled after this many of its smoothed token intervals without a token
+constexpr milliseconds MIN_STALL_TIMEOUT{300};   // lower bound of that timeout
+constexpr milliseconds CHALLENGE_DELAY{600};     // after the first failed challenger of a stall; doubles with each further one
+constexpr int MAX_CHALLENGE_DOUBLINGS = 4;
 constexpr double INTERVAL_SMOOTHING_WEIGHT = 0.2; // weight of the newest token interval
 constexpr milliseconds NO_CHAIN_RETRY_AFTER{1000};
 
@@ -36,6 +39,21 @@
 // State of a request
 //-----------------------------------------------------------------------------
 
+// One attempt at the engines.
+struct pipeline_driver::attempt_run
+{
+    attempt_number attempt;
+    pipeline_chain chain;
+    transfer_id transfer = 0; // 0 = none, the attempt has ended
+    steady_time startedAt;
+    bool anyToken = false; // received in this attempt
+
+    bool isLive(attempt_number number) const
+    {
+        return transfer != 0 && attempt == number;
+    }
+};
+
 struct pipeline_driver::request_state
 {
     std::shared_ptr<http_call> call; // HTTP exchange with the client
@@ -43,22 +61,23 @@
     chat_request request;
     request_id id;
     std::unique_ptr<pipeline_session> session; // accepted tokens, kept across attempts
-    pipeline_chain chain;                      // of the current attempt
-    transfer_id transfer = 0;                  // of the current attempt, 0 = none
-    std::set<server_id> avoid;                 // servers that failed this request
-    int retries = 0;                           // attempts after the first
-    bool dispatched = false;                   // an attempt has been sent to an engine
-    bool headSent = false;                     // the response head has been sent, the answer is streaming
-    bool closed = false;                       // answered or abandoned, no further events are handled
-    std::string queue;                         // name of the admission queue, model@version
-    admission_ticket ticket = 0;               // of the request in the admission queue
+    attempt_run current;
+    attempt_run challenger;      // runs beside a current attempt that has stalled, until one of the two goes on
+    int failedChallengers = 0;   // of the present stall
+    steady_time nextChallenge;   // of the present stall
+    bool budgetNoted = false;    // the empty retry budget was recorded for the present stall
+    std::set<server_id> avoid;   // servers that failed this request
+    int retries = 0;             // attempts after the first
+    bool dispatched = false;     // an attempt has been sent to an engine
+    bool headSent = false;       // the response head has been sent, the answer is streaming
+    bool closed = false;         // answered or abandoned, no further events are handled
+    std::string queue;           // name of the admission queue, model@version
+    admission_ticket ticket = 0; // of the request in the admission queue
     steady_time started;
-    steady_time deadline;         // of the request; streamDeadline replaces it once a token has arrived
-    steady_time streamDeadline;   // of a stream that has begun: a late answer is better than a truncated one
-    steady_time attemptStartedAt; // of the current attempt
-    steady_time lastProgressAt;   // last token of the current attempt, or its start
-    bool anyToken = false;        // received in the current attempt
-    double intervalMs = 0;        // smoothed time between tokens
+    steady_time deadline;       // of the request; streamDeadline replaces it once a token has arrived
+    steady_time streamDeadline; // of a stream that has begun: a late answer is better than a truncated one
+    steady_time lastProgressAt; // last token of the current attempt, or its start
+    double intervalMs = 0;      // smoothed time between tokens
     timer_id stallTimer = 0;
     timer_id waitTimer = 0;
 
@@ -161,31 +180,46 @@
 // Attempts
 //-----------------------------------------------------------------------------
 
+// The first chain found with one of the sets of servers to avoid, tried in order.
+std::optional<pipeline_chain> pipeline_driver::chooseChain(const request_state_pointer &state, const std::vector<std::set<server_id>> &avoidSets)
+{
+    const std::shared_ptr<const config_view> current = m_shared.current.load();
+    const auto layers = current->layers.find(state->request.modelName);
+    route_query query{
+        state->request.modelName, state->session->version(), layers == current->layers.end() ? 0 : layers->second, {}, std::chrono::steady_clock::now()};
+    for (const std::set<server_id> &avoid : avoidSets) {
+        query.avoid = avoid;
+        if (const std::optional<pipeline_chain> chain = m_shared.servers.choose(query)) {
+            return chain;
+        }
+    }
+    return std::nullopt;
+}
+
 void pipeline_driver::beginAttempt(const request_state_pointer &state)
 {
-    const steady_time now = std::chrono::steady_clock::now();
     if (state->closed) {
         return;
     }
-    const std::shared_ptr<const config_view> current = m_shared.current.load();
-    const auto layers = current->layers.find(state->request.modelName);
-    route_query query{state->request.modelName, state->session->version(), layers == current->layers.end() ? 0 : layers->second, state->avoid, now};
-    std::optional<pipeline_chain> chain = m_shared.servers.choose(query);
-    if (!chain && !state->avoid.empty()) {
-        query.avoid.clear(); // a server that has failed for this request is better than none
-        chain = m_shared.servers.choose(query);
-    }
+    // A server that has failed for this request is better than none.
+    const std::optional<pipeline_chain> chain = chooseChain(state, {state->avoid, {}});
     if (!chain) {
         waitForChain(state);
         return;
     }
-    state->chain = *chain;
-    state->attemptStartedAt = now;
-    state->lastProgressAt = now;
-    state->anyToken = false;
-    const attempt_number attempt = state->session->begin(*chain);
+    startRun(state, state->current, *chain, state->session->begin(*chain));
+    state->lastProgressAt = state->current.startedAt;
+    monitorProgress(state);
+}
+
+void pipeline_driver::startRun(const request_state_pointer &state, attempt_run &run, const pipeline_chain &chain, attempt_number attempt)
+{
+    run.attempt = attempt;
+    run.chain = chain;
+    run.startedAt = std::chrono::steady_clock::now();
+    run.anyToken = false;
     m_shared.servers.with([&](fleet &servers) {
-        for (const chain_stage &stage : chain->stages) {
+        for (const chain_stage &stage : chain.stages) {
             servers.recordStart(stage.server);
         }
     });
@@ -193,24 +227,23 @@
     if (attempt.value > 1) {
         m_shared.decisions.record(state->id, decision_reason::resumed,
                                   "attempt=" + std::to_string(attempt.value) + " tokens=" + std::to_string(state->session->tokens().size())
-                                      + " chain=" + describe(*chain));
+                                      + " chain=" + describe(chain));
     }
     generate_request wanted;
     wanted.request = state->id;
     wanted.attempt = attempt;
     wanted.model = state->request.modelName;
     wanted.version = state->session->version();
-    wanted.chain = *chain;
+    wanted.chain = chain;
     wanted.prompt = state->request.prompt;
     wanted.tokens = state->session->tokens();
     wanted.maxTokens = state->request.maxTokens;
     state->dispatched = true;
-    state->transfer
-        = m_engines->generate(wanted,
-                              {[this, state](const token_event &event, const std::vector<stage_timing> &timings) { handleToken(state, event, timings); },
-                               [this, state](attempt_number ended, int tokens, const std::string &reason) { handleDone(state, ended, tokens, reason); },
-                               [this, state, attempt](const engine_failure &failure) { handleFailure(state, attempt, failure); }});
-    monitorProgress(state);
+    run.transfer = m_engines->generate(
+        wanted,
+        {[this, state, attempt](const token_event &event, const std::vector<stage_timing> &timings) { handleToken(state, attempt, event, timings); },
+         [this, state, attempt](attempt_number ended, int tokens, const std::string &reason) { handleDone(state, attempt, ended, tokens, reason); },
+         [this, state, attempt](const engine_failure &failure) { handleFailure(state, attempt, failure); }});
 }
 
 // No chain covers the model at the moment. A stream that has begun waits for one, to avoid truncating the answer; any other
@@ -232,35 +265,77 @@
     });
 }
 
-void pipeline_driver::endAttempt(const request_state_pointer &state, bool cancel)
+void pipeline_driver::endRun(attempt_run &run, bool cancel)
 {
-    if (state->transfer == 0) {
+    if (run.transfer == 0) {
         return;
     }
     if (cancel) {
-        m_engines->cancel(state->transfer);
+        m_engines->cancel(run.transfer);
     }
-    state->transfer = 0;
-    m_loop.cancel(state->stallTimer);
-    state->stallTimer = 0;
+    run.transfer = 0;
     m_shared.servers.with([&](fleet &servers) {
-        for (const chain_stage &stage : state->chain.stages) {
+        for (const chain_stage &stage : run.chain.stages) {
             servers.recordEnd(stage.server);
         }
     });
 }
 
-void pipeline_driver::retry(const request_state_pointer &state, decision_reason reason, const server_id &failedServer, const std::string &detail,
-                            bool countsAsFailure)
+void pipeline_driver::endAllRuns(const request_state_pointer &state)
 {
-    endAttempt(state, true);
-    m_shared.decisions.record(state->id, reason, "server=" + failedServer.text + " " + detail);
-    if (!failedServer.empty()) {
-        state->avoid.insert(failedServer);
+    endRun(state->current, true);
+    endRun(state->challenger, true);
+    m_loop.cancel(state->stallTimer);
+    state->stallTimer = 0;
+}
+
+// The current attempt has ended, and the challenger takes its place.
+void pipeline_driver::promoteChallenger(const request_state_pointer &state)
+{
+    state->session->promoteChallenger();
+    state->current = std::exchange(state->challenger, {});
+    state->lastProgressAt = state->current.startedAt;
+}
+
+void pipeline_driver::recordServerFailure(const request_state_pointer &state, const server_id &failedServer, bool countsAsFailure)
+{
+    if (failedServer.empty()) {
+        return;
     }
-    if (countsAsFailure && !failedServer.empty()) {
+    state->avoid.insert(failedServer);
+    if (countsAsFailure) {
         m_shared.servers.with([&](fleet &servers) { servers.recordFailure(failedServer, std::chrono::steady_clock::now()); });
     }
+}
+
+// Ends a failed attempt. As long as another one runs beside it, the request goes on with that.
+void pipeline_driver::attemptFailed(const request_state_pointer &state, attempt_run &run, decision_reason reason, const server_id &failedServer,
+                                    const std::string &detail, bool countsAsFailure)
+{
+    endRun(run, true);
+    m_shared.decisions.record(state->id, reason, "server=" + failedServer.text + " " + detail);
+    recordServerFailure(state, failedServer, countsAsFailure);
+    if (&run == &state->challenger) {
+        state->session->withdrawChallenger();
+        const int doublings = std::min(state->failedChallengers++, MAX_CHALLENGE_DOUBLINGS);
+        state->nextChallenge = std::chrono::steady_clock::now() + CHALLENGE_DELAY * (1 << doublings);
+        return;
+    }
+    if (state->challenger.transfer != 0) {
+        promoteChallenger(state);
+        return;
+    }
+    retry(state, detail, countsAsFailure);
+}
+
+void pipeline_driver::retry(const request_state_pointer &state, const std::string &detail, bool countsAsFailure)
+{
+    m_loop.cancel(state->stallTimer);
+    state->stallTimer = 0;
+    if (state->session->complete(state->session->attempt(), state->request.maxTokens, "length")) {
+        completeRequest(state); // all tokens are there, only the end was lost
+        return;
+    }
     ++state->retries;
     bool allowed = true;
     if (countsAsFailure) {
@@ -286,77 +361,153 @@
     });
 }
 
-// Fails the attempt when no token has arrived for too long. The timeout follows the token rate of the stream. A token does not
+// Starts a challenger when no token has arrived for too long. The timeout follows the token rate of the stream. A token does not
 // move the timer: the timer is set again, for the time that is left, when it fires.
 void pipeline_driver::monitorProgress(const request_state_pointer &state)
 {
     const steady_time now = std::chrono::steady_clock::now();
     milliseconds limit = m_shared.settings.firstTokenTimeout;
-    if (state->anyToken) {
+    if (state->current.anyToken) {
         const milliseconds scaledInterval(static_cast<int>(state->intervalMs * STALL_INTERVAL_FACTOR));
         limit = std::min(std::max(scaledInterval, MIN_STALL_TIMEOUT), m_shared.settings.tokenTimeout);
     }
     const steady_time end = state->end();
-    const steady_time due = std::min(state->lastProgressAt + limit, end);
-    if (now < due) {
-        state->stallTimer = m_loop.after(std::chrono::ceil<milliseconds>(due - now), [this, state] {
-            state->stallTimer = 0;
-            if (!state->closed && state->transfer != 0) {
-                monitorProgress(state);
-            }
-        });
-        return;
-    }
+    steady_time due = state->lastProgressAt + limit;
     if (now >= end) {
-        endAttempt(state, true);
+        endAllRuns(state);
         giveUp(state, "the deadline passed");
         return;
     }
-    // Engines report which stage failed. If nothing arrives at all, the first stage is taken as failed, since it is the one that sends the answer.
-    retry(state, decision_reason::stage_silent, state->chain.stages.front().server, "silent for " + std::to_string(limit.count()) + " ms", true);
+    if (now >= due) {
+        if (state->call->clientDisconnected()) {
+            abandon(state);
+            return;
+        }
+        if (state->session->complete(state->session->attempt(), state->request.maxTokens, "length")) {
+            endAllRuns(state); // all tokens are there, only the end is missing
+            completeRequest(state);
+            return;
+        }
+        challenge(state, limit);
+        due = now + CHAIN_POLL_INTERVAL;
+    }
+    state->stallTimer = m_loop.after(std::chrono::ceil<milliseconds>(std::min(due, end) - now), [this, state] {
+        state->stallTimer = 0;
+        if (!state->closed && state->current.transfer != 0) {
+            monitorProgress(state);
+        }
+    });
+}
+
+// The current attempt has stalled. Its engines may go on, so it is not ended for that: another chain is tried beside it, and whichever
+// goes on first has the answer. The last attempt is kept for a failure.
+void pipeline_driver::challenge(const request_state_pointer &state, milliseconds silence)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (state->challenger.transfer != 0) {
+        if (now < state->challenger.startedAt + m_shared.settings.firstTokenTimeout) {
+            return;
+        }
+        const server_id silent = state->challenger.chain.stages.front().server;
+        attemptFailed(state, state->challenger, decision_reason::stage_silent, silent,
+                      "silent for " + std::to_string(m_shared.settings.firstTokenTimeout.count()) + " ms", true);
+    }
+    if (now < state->nextChallenge || state->retries + 2 >= m_shared.settings.maxAttempts) {
+        return;
+    }
+    // Engines report which stage failed. If nothing arrives at all, any stage may be the silent one, most likely the first, since it
+    // sends the answer.
+    std::set<server_id> withoutChain = state->avoid;
+    for (const chain_stage &stage : state->current.chain.stages) {
+        withoutChain.insert(stage.server);
+    }
+    const server_id &first = state->current.chain.stages.front().server;
+    std::set<server_id> withoutFirst = state->avoid;
+    withoutFirst.insert(first);
+    std::vector<std::set<server_id>> avoidSets{withoutChain, withoutFirst, {first}};
+    if (now >= state->lastProgressAt + m_shared.settings.firstTokenTimeout * 2) {
+        avoidSets.emplace_back(); // perhaps only the connection is dead
+    }
+    const std::optional<pipeline_chain> chain = chooseChain(state, avoidSets);
+    if (!chain) {
+        return;
+    }
+    bool allowed = false;
+    {
+        const std::lock_guard lock(m_shared.budgetMutex);
+        allowed = m_shared.budget.take();
+    }
+    if (!allowed) {
+        if (!std::exchange(state->budgetNoted, true)) {
+            m_shared.decisions.record(state->id, decision_reason::retry_budget_empty, "");
+        }
+        return;
+    }
+    ++state->retries;
+    m_shared.decisions.record(state->id, decision_reason::stage_silent, "server=" + first.text + " silent for " + std::to_string(silence.count()) + " ms");
+    startRun(state, state->challenger, *chain, state->session->challenge(*chain));
 }
 
 //-----------------------------------------------------------------------------
 // Events of an attempt
 //-----------------------------------------------------------------------------
 
-void pipeline_driver::handleToken(const request_state_pointer &state, const token_event &event, const std::vector<stage_timing> &timings)
+void pipeline_driver::handleToken(const request_state_pointer &state, attempt_number attempt, const token_event &event,
+                                  const std::vector<stage_timing> &timings)
 {
-    if (state->closed) {
-        return;
+    const bool fromChallenger = state->challenger.isLive(attempt);
+    if (state->closed || (!fromChallenger && !state->current.isLive(attempt))) {
+        return; // an engine may have sent it in one piece with what ended its attempt
     }
-    const token_verdict tokenVerdict = state->session->accept(event);
+    attempt_run &run = fromChallenger ? state->challenger : state->current;
+    const token_verdict tokenVerdict = event.attempt == attempt ? state->session->accept(event) : token_verdict::stale;
     if (tokenVerdict == token_verdict::stale) {
         m_shared.counters.count("chestnutgw_stale_tokens_total");
         return;
     }
     if (tokenVerdict == token_verdict::violation) {
-        retry(state, decision_reason::token_rejected, state->chain.stages.front().server, "token " + std::to_string(event.index) + " ran out of order", true);
+        attemptFailed(state, run, decision_reason::token_rejected, run.chain.stages.front().server,
+                      "token " + std::to_string(event.index) + " ran out of order", true);
         return;
     }
+    if (fromChallenger) {
+        recordTakeover(state);
+    }
+    endRun(state->challenger, true);
     const steady_time now = std::chrono::steady_clock::now();
     const metric_labels labels{{"account", state->account.id.text}};
     if (state->session->tokens().size() == 1) {
         m_shared.counters.observe("chestnutgw_first_token_seconds", toSeconds(now - state->started), labels);
-    } else if (state->anyToken) {
+    } else if (state->current.anyToken) {
         const double intervalMs = sinceMs(state->lastProgressAt, now);
         state->intervalMs += (state->intervalMs == 0 ? 1 : INTERVAL_SMOOTHING_WEIGHT) * (intervalMs - state->intervalMs);
         m_shared.counters.observe("chestnutgw_token_interval_seconds", intervalMs / 1000, labels);
     }
-    state->anyToken = true;
+    recordTimings(state->current, timings);
+    state->current.anyToken = true;
     state->lastProgressAt = now;
+    state->failedChallengers = 0;
+    state->nextChallenge = {};
+    state->budgetNoted = false;
     m_shared.counters.count("chestnutgw_tokens_total", labels);
-    recordTimings(state, timings);
     sendToken(state, event.text);
 }
 
-void pipeline_driver::recordTimings(const request_state_pointer &state, const std::vector<stage_timing> &timings)
+// The challenger went on first and is the session's current attempt. The one that stalled ends.
+void pipeline_driver::recordTakeover(const request_state_pointer &state)
+{
+    endRun(state->current, true);
+    recordServerFailure(state, state->current.chain.stages.front().server, true);
+    state->current = std::exchange(state->challenger, {});
+}
+
+void pipeline_driver::recordTimings(const attempt_run &run, const std::vector<stage_timing> &timings)
 {
     m_shared.servers.with([&](fleet &servers) {
         for (std::size_t i = 1; i < timings.size(); ++i) {
             servers.recordLink(timings[i - 1].server, timings[i].server, timings[i].linkMs);
         }
-        if (state->session->tokens().size() == 1) {
+        if (!run.anyToken) {
             for (const stage_timing &timing : timings) {
                 servers.recordSuccess(timing.server);
             }
@@ -367,9 +518,7 @@
 void pipeline_driver::sendToken(const request_state_pointer &state, const std::string &text)
 {
     if (state->call->clientDisconnected()) {
-        m_shared.decisions.record(state->id, decision_reason::caller_gone, "");
-        endAttempt(state, true);
-        close(state);
+        abandon(state);
         return;
     }
     if (!state->request.stream) {
@@ -385,25 +534,27 @@
     state->call->write(formatChunk(state->id, state->request.model, text, {}));
 }
 
-void pipeline_driver::handleDone(const request_state_pointer &state, attempt_number attempt, int tokens, const std::string &reason)
+void pipeline_driver::handleDone(const request_state_pointer &state, attempt_number attempt, attempt_number ended, int tokens, const std::string &reason)
 {
-    if (state->closed) {
+    const bool fromChallenger = state->challenger.isLive(attempt);
+    if (state->closed || (!fromChallenger && !state->current.isLive(attempt))) {
         return;
     }
-    if (!state->session->complete(attempt, tokens, reason)) {
-        if (attempt == state->session->attempt()) {
-            retry(state, decision_reason::token_rejected, state->chain.stages.front().server, "end after " + std::to_string(tokens) + " tokens does not fit",
-                  true);
-        }
+    attempt_run &run = fromChallenger ? state->challenger : state->current;
+    if (ended != attempt || !state->session->complete(attempt, tokens, reason)) {
+        attemptFailed(state, run, decision_reason::token_rejected, run.chain.stages.front().server,
+                      "end after " + std::to_string(tokens) + " tokens does not fit", true);
         return;
     }
-    endAttempt(state, false);
+    endRun(run, false);
+    endAllRuns(state);
     completeRequest(state);
 }
 
 void pipeline_driver::handleFailure(const request_state_pointer &state, attempt_number attempt, const engine_failure &failure)
 {
-    if (state->closed || attempt != state->session->attempt()) {
+    const bool fromChallenger = state->challenger.isLive(attempt);
+    if (state->closed || (!fromChallenger && !state->current.isLive(attempt))) {
         return;
     }
     const bool leaving = failure.code == "leaving" || failure.code == "not_held";
@@ -415,7 +566,8 @@
             }
         });
     }
-    retry(state, leaving ? decision_reason::stage_left : decision_reason::stage_failed, failure.failedServer, failure.code + ": " + failure.message, !leaving);
+    attemptFailed(state, fromChallenger ? state->challenger : state->current, leaving ? decision_reason::stage_left : decision_reason::stage_failed,
+                  failure.failedServer, failure.code + ": " + failure.message, !leaving);
 }
 
 //-----------------------------------------------------------------------------
@@ -468,6 +620,14 @@
     close(state);
 }
 
+// The client has left.
+void pipeline_driver::abandon(const request_state_pointer &state)
+{
+    m_shared.decisions.record(state->id, decision_reason::caller_gone, "");
+    endAllRuns(state);
+    close(state);
+}
+
 void pipeline_driver::close(const request_state_pointer &state)
 {
     if (state->closed) {
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -166,6 +166,34 @@
     CHECK(session.tokens() == std::vector<std::string>{"x", "y"});
 }
 
+TEST_CASE("the first of two attempts that goes on is the current one", "[unit]")
+{
+    const pipeline_chain chain{{{server_id{"a"}, "a:1", {0, 20}}}};
+    const std::vector<layer_range> ranges{{0, 20}};
+    pipeline_session session(request_id{"r"}, 20, "v", 4);
+    const attempt_number first = session.begin(chain);
+    const attempt_number second = session.challenge(chain);
+    CHECK(session.accept({second, 1, "x", "v", ranges}) == token_verdict::violation);
+    CHECK(session.accept({first, 0, "a", "v", ranges}) == token_verdict::deliver);
+    CHECK(session.accept({second, 1, "b", "v", ranges}) == token_verdict::stale);
+    const attempt_number third = session.challenge(chain);
+    CHECK(session.accept({third, 1, "c", "v", ranges}) == token_verdict::deliver);
+    CHECK(session.attempt() == third);
+    CHECK(session.accept({first, 2, "d", "v", ranges}) == token_verdict::stale);
+    const attempt_number fourth = session.challenge(chain);
+    session.promoteChallenger();
+    CHECK(session.accept({third, 2, "e", "v", ranges}) == token_verdict::stale);
+    CHECK(session.accept({fourth, 2, "f", "v", ranges}) == token_verdict::deliver);
+    const attempt_number fifth = session.challenge(chain);
+    session.withdrawChallenger();
+    CHECK(session.accept({fifth, 3, "g", "v", ranges}) == token_verdict::stale);
+    const attempt_number sixth = session.challenge(chain);
+    CHECK_FALSE(session.complete(fifth, 3, "stop"));
+    CHECK(session.complete(sixth, 3, "stop"));
+    CHECK(session.accept({fourth, 3, "h", "v", ranges}) == token_verdict::stale);
+    CHECK(session.tokens() == std::vector<std::string>{"a", "c", "f"});
+}
+
 TEST_CASE("a session refuses a chain that does not cover the layers", "[unit]")
 {
     pipeline_session session(request_id{"r"}, 20, "v", 3);
