--- a/src/core/chestnutgw.h
+++ b/src/core/chestnutgw.h
@@ -321,7 +321,9 @@
     int endedSinceReport = 0;            // streams of this instance ended after the report
     double delayFactor = 1;              // ratio of measured service time to the time predicted from reports, smoothed
     int failures = 0;                    // consecutive failed attempts of this instance
+    int missedReports = 0;               // consecutive load reports that did not arrive
     steady_time ejectedUntil;            // no new work before this time
+    bool ejectedForReports = false;      // ejected for missed reports only; the next report ends that
     int probes = 0;                      // streams of this instance sent since the ejection ended
 
     // Reason why the server gets no new work at this time; empty if it is usable.
@@ -350,6 +352,8 @@
     void recordEnd(const server_id &id);
     // Counts a failed attempt. Repeated failures eject the server, unless too large a share of the fleet is ejected already.
     void recordFailure(const server_id &id, steady_time now);
+    // Counts a load report that did not arrive. Like recordFailure(), but the next report clears it.
+    void recordMissedReport(const server_id &id, steady_time now);
     // Clears the failure count and the ejection.
     void recordSuccess(const server_id &id);
     // Adds a measured one-way delay in ms; an empty `from` means the link from this instance.
@@ -360,6 +364,8 @@
     int ejectedCount(steady_time now) const;
 
 private:
+    bool eject(fleet_server &server, int failures, steady_time now);
+
     std::map<std::pair<server_id, server_id>, link_estimate> m_links;
     std::map<server_id, link_estimate> m_inbound; // by target, over all sources
 };
@@ -434,7 +440,7 @@
 enum class token_verdict
 {
     deliver,   // next token of the answer
-    stale,     // from an earlier attempt or after the end: drop
+    stale,     // from an ended attempt or after the end: drop
     violation, // out of order, wrong layers or wrong version: abort the attempt
 };
 
@@ -447,10 +453,17 @@
     // Starts a new attempt on a chain; from then on, events of earlier attempts are stale. Throws std::invalid_argument if the
     // chain does not cover the layers of the model once, in order.
     attempt_number begin(const pipeline_chain &chain);
+    // Starts a second attempt beside the current one. The first of the two that delivers a token or the end of the answer is the
+    // current attempt from then on, and the other one's events are stale. Throws like begin().
+    attempt_number challenge(const pipeline_chain &chain);
+    // Makes the second attempt the current one, whose chain has failed. Without a second attempt nothing changes.
+    void promoteChallenger();
+    // Ends the second attempt.
+    void withdrawChallenger();
     // Checks a token and appends it to the answer if the verdict is deliver.
     token_verdict accept(const token_event &event);
-    // Records the end of the answer. Returns false and changes nothing if the attempt is not the current one, the answer is complete
-    // already, the token count differs, or the reason is neither "stop" nor "length" at the token limit.
+    // Records the end of the answer. Returns false and changes nothing if the attempt is neither the current nor the second one, the
+    // answer is complete already, the token count differs, or the reason is neither "stop" nor "length" at the token limit.
     bool complete(attempt_number attempt, int tokens, const std::string &reason);
 
     const request_id &id() const
@@ -487,8 +500,11 @@
     int m_layers;
     std::string m_version;
     int m_maxTokens;
-    attempt_number m_attempt;
-    pipeline_chain m_chain;
+    attempt_number m_attempt;    // the current one
+    pipeline_chain m_chain;      // of the current attempt
+    attempt_number m_challenger; // the second attempt, 0 = none
+    pipeline_chain m_challengerChain;
+    attempt_number m_lastAttempt; // highest number given
     std::vector<std::string> m_tokens;
     std::string m_finishReason;
 };
