--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -150,6 +150,7 @@
     int status = 0;
     if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
         m_pid = -1;
+        m_endStatus = exitStatus(status);
     }
     return m_pid <= 0;
 }
--- a/tests/process.h
+++ b/tests/process.h
@@ -40,6 +40,11 @@
     void kill();
     // Returns true if the process has ended, without waiting.
     bool hasEnded();
+    // Exit status as wait() returns it, valid once hasEnded() returned true.
+    int endStatus() const
+    {
+        return m_endStatus;
+    }
     // Waits for the process to end. Returns its exit status, or 128 + the signal number if a signal ended it.
     int wait();
     bool running() const
@@ -51,6 +56,7 @@
     bool parseListening(const std::string &line);
 
     pid_t m_pid = -1;
+    int m_endStatus = 0;
     unique_fd m_output;
     std::string m_address;
     std::string m_peerAddress;
--- a/tests/soak/judges.cpp
+++ b/tests/soak/judges.cpp
@@ -46,6 +46,7 @@
         for (const attempt &one : m_seen.attempts) {
             judgeContent(one);
             judgeLost(one);
+            countEarlyFailure(one);
             judgeRuns(one);
             judgeReleased(one);
             judgeConfig(one);
@@ -148,6 +149,15 @@
         report("LOST", one, text);
     }
 
+    // Counts failures that the gateway answered although its servers were sound and time was left. They break no rule.
+    void countEarlyFailure(const attempt &one)
+    {
+        const bool failed = one.complete && !one.isSigned && (one.status == 502 || one.status == 504);
+        if (failed && excuse(one).empty()) {
+            m_result.earlyFailures[std::string(toText(one.kind)) + " " + std::to_string(one.status)].push_back(one.id);
+        }
+    }
+
     void judgeRuns(const attempt &one)
     {
         const std::vector<run> &runs = runsOf(one);
--- a/tests/soak/judges.h
+++ b/tests/soak/judges.h
@@ -41,6 +41,8 @@
 {
     std::vector<finding> broken;        // in order of time
     std::map<std::string, int> excused; // incomplete answers that break no rule, by reason
+    // Requests that the gateway failed although their servers were sound and time was left, by kind and status; break no rule.
+    std::map<std::string, std::vector<std::string>> earlyFailures;
 };
 
 verdicts judge(const evidence &seen);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -84,7 +84,10 @@
     for (const auto &[end, count] : ends) {
         std::cout << "  " << end << ": " << count << '\n';
     }
-    const auto [broken, excused] = judge(seen);
+    const auto [broken, excused, earlyFailures] = judge(seen);
+    for (const auto &[failure, ids] : earlyFailures) {
+        std::cout << "  failed at a sound server with time left, " << failure << ": " << ids.size() << ", the first is " << ids.front() << '\n';
+    }
     for (const auto &[reason, count] : excused) {
         std::cout << "  incomplete, not counted, " << reason << ": " << count << '\n';
     }
--- a/tests/soak/rig.cpp
+++ b/tests/soak/rig.cpp
@@ -297,7 +297,8 @@
         return;
     }
     if (one.terminated == NEVER) {
-        m_ended.push_back(one.name + "." + std::to_string(one.boot) + " ended by itself at " + std::to_string(m_book.now().count()));
+        m_ended.push_back(one.name + "." + std::to_string(one.boot) + " ended by itself at " + std::to_string(m_book.now().count()) + " with status "
+                          + std::to_string(one.process->endStatus()));
         m_book.add(incident{m_book.now(), m_book.now(), "ended by itself", one.name, true});
     }
     one.process.reset();
