Metrics say why a client connection ended and whether it dropped data

Operators could not tell from logs or metrics whether the gateway or the client ended a connection between two requests, nor whether a request had crossed the close. client_connections_closed now counts each end by reason (last_answer, idle, stopping, client_closed, unreadable, cut, closed, reset, not_reading), and client_data_dropped the connections on which data arrived after the gateway had closed its sending direction.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -123,6 +123,8 @@
     }
     error_code ignored; // the connection is over either way
     m_socket.close(ignored);
+    const char *reason = m_cut ? "cut" : m_clientGone ? toText(m_clientEnd) : m_closeReason;
+    m_state.counters.count("client_connections_closed", {{"reason", reason}});
 }
 
 asio::awaitable<void> client_session::closeGracefully()
@@ -130,9 +132,14 @@
     error_code error; // the client may have closed the connection
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     const steady_time until = std::chrono::steady_clock::now() + CLOSE_LINGER;
+    bool dropped = m_buffer.size() > 0;
     while (!error) {
         m_buffer.clear();
         error = co_await receive(until);
+        dropped = dropped || m_buffer.size() > 0;
+    }
+    if (dropped) {
+        m_state.counters.count("client_data_dropped"); // for example a request that crossed the close
     }
 }
 
@@ -227,6 +234,9 @@
         limit = currentLimits().idleTimeout;
         error = co_await receive(start + limit);
     }
+    if (error) {
+        m_closeReason = error != asio::error::timed_out ? "client_closed" : m_closing ? "stopping" : "idle";
+    }
     co_return !error;
 }
 
@@ -241,6 +251,7 @@
     }
     const error_code error = co_await readMessage(parser, currentLimits());
     if (error) {
+        m_closeReason = "unreadable";
         co_await rejectUnreadable(error);
         co_return false;
     }
@@ -295,7 +306,8 @@
         status = 408;
         reason = "request_too_slow";
     } else if (error.category() != http::make_error_code(http::error::need_more).category()) {
-        co_return; // the client closed the connection
+        m_closeReason = "client_closed";
+        co_return;
     }
     m_state.counters.count("requests_unreadable", {{"reason", reason}});
     logLine(log_level::info, "request_unreadable", {{"reason", reason}, {"error", error.message()}});
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -118,8 +118,9 @@
     bool m_isHeadRequest = false; // the current request is a HEAD request, whose answer has no body
     bool m_clientGone = false;    // the client has closed the connection
     client_end m_clientEnd = client_end::open;
-    bool m_aborted = false; // abort() was called
-    bool m_cut = false;     // cut() has closed the connection
+    bool m_aborted = false;                    // abort() was called
+    const char *m_closeReason = "last_answer"; // why the connection ends, for metrics
+    bool m_cut = false;                        // cut() has closed the connection
 };
 
 }
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -203,6 +203,7 @@
     CHECK(countOf(waiting.readUntil("\x01never", 300), "hello") == 2);
     raw_client newer(site.front());
     CHECK(newer.closedWithin(3000));
+    CHECK(eventually([&] { return metricOf(site, "client_connections_closed{reason=\"idle\"}") >= 1; }));
 }
 
 TEST_CASE("a request that arrived while the gateway was paused beyond a limit is answered", "[failure]")
@@ -399,6 +400,7 @@
     client.write(makeRequest("/once/", "id2"));
     CHECK(client.readAll(16'000, 20) > large.size());
     CHECK(server.count() == 1);
+    CHECK(eventually([&] { return metricOf(site, "client_data_dropped") >= 1; }));
 }
 
 TEST_CASE("a client that reads a long answer slowly but steadily gets it completely", "[failure]")
