--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -17,7 +17,7 @@
 
 constexpr milliseconds CONNECT_TIMEOUT{150};  // a server in the same region answers in a few ms
 constexpr milliseconds REPORT_TIMEOUT{250};   // a first server that has not reported by then counts as silent
-constexpr milliseconds MAX_THREAD_DELAY{100}; // of the own threads; beyond it a missing report says nothing about the server
+constexpr milliseconds MAX_THREAD_DELAY{100}; // of the own threads; beyond it a missing or failed report says nothing about the server
 constexpr milliseconds ORDER_TIMEOUT{400};
 constexpr milliseconds MIN_ATTEMPT_TIME{200};  // no attempt is started with less time left
 constexpr milliseconds BUSY_RETRY{1200};       // Retry-After if servers refused: the mean answer time, after which a slot should be free
@@ -476,11 +476,12 @@
     if (attempt->ended || m_abandoned || attempt->lastData != lastData) {
         co_return;
     }
-    if (!report && isOwnDelay(now + REPORT_TIMEOUT)) {
+    const bool reported = report && report->ok;
+    if (!reported && isOwnDelay(now + REPORT_TIMEOUT)) {
         m_state.counters.count("inquiries_delayed");
         co_return;
     }
-    if (!report || !report->ok) {
+    if (!reported) {
         avoid(first.address, failure_kind::silent);
         noteEmptyInquiry(attempt, attempt_end::silent);
         co_return;
