Test: a client that closes its sending direction counts as gone

A half-closed connection and one that the client has closed look the same until the gateway writes: the same FIN, the same state of the connection. The server must be released within 0.5 s after a client has left, so the gateway takes the end of the sending direction for the end of the client. The test holds this down: the server's connection closes within 0.5 s, the client gets no byte, and answers_incomplete counts it.

--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -70,6 +70,11 @@
     {
         (void)::send(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
+    // Closes the sending direction only.
+    void finishWriting() const
+    {
+        ::shutdown(m_socket.get(), SHUT_WR);
+    }
     // Reads until the peer closes the connection; pauses after each part of `stepBytes`. Returns the number of bytes received.
     std::size_t readAll(std::size_t stepBytes = 0, int pauseMs = 0) const
     {
@@ -418,6 +423,25 @@
     CHECK(client.readAll(300'000, 200) > large.size()); // 8 s in all
 }
 
+TEST_CASE("a client that closes its sending direction counts as gone, and its server is released", "[failure]")
+{
+    std::atomic<bool> released = false;
+    scripted_server server([&](raw_connection &out, const raw_request &) {
+        released = out.waitForClose(500);
+        return false;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    slow_client client(site.front());
+    client.write(makeRequest("/once/", "id1"));
+    REQUIRE(eventually([&] { return server.count() == 1; }));
+    client.finishWriting();
+    CHECK(client.readAll() == 0);
+    CHECK(eventually([&] { return released.load(); }));
+    CHECK(metricOf(site, "answers_incomplete") == 1);
+}
+
 //-----------------------------------------------------------------------------
 // Headers and logs
 //-----------------------------------------------------------------------------
