A stream's only or last attempt never uses a connection that may be stale

Callers got 502 for a stream when servers had closed their idle connections, although the servers were sound: the request was sent on a pooled connection, found it closed, and that counted as an attempt; the second attempt did the same. A stream that may not be resumed had just one.

Change: such a stream, and each attempt after one that may have run, opens a new connection. Evidence: "a stream whose reused connections are stale is answered over a new one" failed before for both kinds of route and passes.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -158,7 +158,9 @@
 {
     const path_stage first = attempt.first();
     const steady_time start = std::chrono::steady_clock::now();
-    exchange_status status = co_await exchange.connect(false, std::min<steady_time>(m_facts.deadline, start + CONNECT_TIMEOUT));
+    // An idle connection may be about to be closed by the server, which must not cost the only or the last attempt.
+    const bool fresh = !m_facts.matched->resumable || m_outcome.runs > 0;
+    exchange_status status = co_await exchange.connect(fresh, std::min<steady_time>(m_facts.deadline, start + CONNECT_TIMEOUT));
     if (attempt.ended || m_abandoned) {
         co_return opening_state::not_run;
     }
--- a/tests/gateway_second_attempt_test.cpp
+++ b/tests/gateway_second_attempt_test.cpp
@@ -212,3 +212,41 @@
     CHECK(next.count() == 1);
     CHECK(reportsOfNext >= 1);
 }
+
+TEST_CASE("a stream whose reused connections are stale is answered over a new one", "[failure]")
+{
+    const std::string path = GENERATE("/stream/", "/single/");
+    CAPTURE(path);
+    std::atomic<int> running = 0;
+    // Closes each connection when a second request arrives on it, as a server does that has given it up while it was idle.
+    const server_script script = [&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.write(report(in));
+            return true;
+        }
+        if (in.index > 0) {
+            return false;
+        }
+        ++running;
+        eventually([&] { return running >= 4; }); // so that both servers get a part
+        out.write(streamHead(in) + events(firstEventOf(in), LAST_EVENT) + "0\r\n\r\n");
+        return true;
+    };
+    scripted_server one(script);
+    scripted_server two(script);
+    deployment site;
+    site.addServer("i-1", "lm", one.address(), 0, 4);
+    site.addServer("i-2", "lm", two.address(), 0, 4);
+    site.start();
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (int number = 0; number < 4; ++number) {
+        clients.push_back(std::make_unique<raw_client>(site.front()));
+        clients.back()->write(makeRequest("/stream/", "id" + std::to_string(number)));
+    }
+    for (const auto &client : clients) {
+        CHECK(isWholeStream(client->readUntil("0\r\n\r\n", 5000)));
+    }
+    REQUIRE(one.count() >= 1);
+    REQUIRE(two.count() >= 1);
+    CHECK(isWholeStream(exchange(site.front(), makeRequest(path, "last"))));
+}
