--- /dev/null
+++ b/src/gateway/generation_stalls.cpp
@@ -0,0 +1,168 @@
+// The part of generation_flow that handles attempts without data: inquiries, replaced stages, requests that wait in a queue.
+
+#include "gateway/generation_flow.h"
+#include "gateway/one_shot.h"
+
+#include <algorithm>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr milliseconds REPORT_TIMEOUT{250};   // a first server that has not reported by then counts as silent
+constexpr milliseconds MAX_THREAD_DELAY{100}; // of the own threads; beyond it a missing or failed report says nothing about the server
+constexpr milliseconds ORDER_TIMEOUT{400};
+constexpr int MAX_REPATHS = 3;                 // repath orders per lost stage
+constexpr int QUEUE_EXIT_INQUIRIES = 1;        // inquiries without result before a request leaves its first server's queue
+constexpr int MAX_EMPTY_INQUIRIES = 12;        // consecutive inquiries without result, after which a second attempt is started
+
+}
+
+asio::awaitable<void> generation_flow::monitorStalls(std::shared_ptr<generation_flow>, attempt_ptr attempt)
+{
+    while (!attempt->ended && !m_abandoned) {
+        const steady_time now = std::chrono::steady_clock::now();
+        const steady_time until = attempt->blockedByClient ? now + attempt->stallTimeout() : attempt->nextInquiry();
+        if (now < until) {
+            boost::system::error_code ignored; // cancelled at the end of the attempt
+            attempt->stallTimer.expires_at(until);
+            co_await attempt->stallTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        }
+        co_await handleStall(attempt);
+        attempt->lastInquiry = std::chrono::steady_clock::now();
+    }
+}
+
+asio::awaitable<void> generation_flow::handleStall(attempt_ptr attempt)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    const path_stage first = attempt->first();
+    for (const path_stage &stage : attempt->path) {
+        if (stage.address != first.address && m_state.health.avoided(stage.address, now)) {
+            co_await replaceStage(attempt, stage.address);
+            co_return;
+        }
+    }
+    const steady_time lastData = attempt->lastData;
+    auto answer = std::make_shared<one_shot<server_report>>(m_state.context, now + REPORT_TIMEOUT);
+    m_state.control.fetchReport(first.address, first.server, [answer](server_report report) { answer->set(std::move(report)); });
+    const std::optional<server_report> report = co_await answer->wait();
+    if (attempt->ended || m_abandoned || attempt->lastData != lastData) {
+        co_return;
+    }
+    const bool reported = report && report->ok;
+    if (!reported && isOwnDelay(now + REPORT_TIMEOUT)) {
+        m_state.counters.count("inquiries_delayed");
+        co_return;
+    }
+    if (!reported) {
+        avoid(first.address, failure_kind::silent);
+        noteEmptyInquiry(attempt, attempt_end::silent);
+        co_return;
+    }
+    const auto stalled = report->stalledRequests.find(m_facts.id);
+    const bool named = stalled != report->stalledRequests.end() && !stalled->second.empty();
+    if (named && attempt->usesStage(stalled->second)) { // a report is some 100 ms old and may name a stage that has been replaced
+        avoid(stalled->second, failure_kind::silent);
+        co_await replaceStage(attempt, stalled->second);
+        co_return;
+    }
+    const bool queued = !attempt->headRead && attempt->emptyInquiries >= QUEUE_EXIT_INQUIRIES;
+    if (queued && leaveQueue(attempt)) {
+        co_return;
+    }
+    if (attempt->emptyInquiries + 1 >= MAX_EMPTY_INQUIRIES) {
+        noteEmptyInquiry(attempt, attempt_end::no_progress);
+        co_return;
+    }
+    ++attempt->emptyInquiries;
+}
+
+asio::awaitable<void> generation_flow::replaceStage(attempt_ptr attempt, std::string lostAddress)
+{
+    const steady_time lastData = attempt->lastData;
+    for (int tries = 0; tries < MAX_REPATHS; ++tries) {
+        const auto path = pathAround(*attempt, lostAddress);
+        if (!path) {
+            logLine(log_level::info, "stream_not_moved", {{"request", m_facts.id}, {"lost", lostAddress}, {"reason", "no replacement"}});
+            break;
+        }
+        auto answer = std::make_shared<one_shot<order_answer>>(m_state.context, std::chrono::steady_clock::now() + ORDER_TIMEOUT);
+        m_state.control.orderRepath(path->front().address, path->front().server, m_facts.id, *path, [answer](order_outcome outcome, const std::string &faulty) {
+            answer->set({outcome, faulty});
+        });
+        const std::optional<order_answer> ordered = co_await answer->wait();
+        if (attempt->ended || m_abandoned) {
+            co_return;
+        }
+        const bool migrated = ordered && ordered->outcome == order_outcome::begun;
+        logLine(log_level::info, migrated ? "stream_moved" : "stream_not_moved",
+                {{"request", m_facts.id},
+                 {"lost", lostAddress},
+                 {"stages", std::to_string(path->size())},
+                 {"reason",
+                  !ordered       ? "no answer"
+                      : migrated ? ""
+                                 : "refused"},
+                 {"faulty", ordered ? ordered->faulty : ""}});
+        if (migrated) {
+            ++m_outcome.repaths;
+            attempt->path = *path;
+            attempt->load->move(*path);
+            co_return;
+        }
+        if (attempt->lastData != lastData) {
+            co_return; // the stream goes on
+        }
+        if (!ordered || ordered->faulty.empty()) {
+            break;
+        }
+        avoid(ordered->faulty, failure_kind::refused);
+    }
+    noteEmptyInquiry(attempt, attempt_end::stage_lost);
+}
+
+void generation_flow::noteEmptyInquiry(const attempt_ptr &attempt, attempt_end cause)
+{
+    ++attempt->emptyInquiries;
+    if (attempt == m_current) {
+        startSecond(cause, false);
+    }
+}
+
+bool generation_flow::leaveQueue(const attempt_ptr &attempt)
+{
+    return attempt == m_current && startSecond(attempt_end::queued, true);
+}
+
+std::optional<std::vector<path_stage>> generation_flow::pathAround(const stream_attempt &attempt, const std::string &lostAddress) const
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    const std::vector<path_stage> &stages = attempt.path;
+    const auto lost = std::find_if(stages.begin(), stages.end(), [&](const path_stage &stage) { return stage.address == lostAddress; });
+    if (lost == stages.end() || lost == stages.begin() || service() == nullptr) {
+        return std::nullopt;
+    }
+    auto replacement = m_state.chooseReplacement(*service(), lost->range, m_facts.tokens, stages, m_avoided, false, now);
+    if (!replacement) {
+        replacement = m_state.chooseReplacement(*service(), lost->range, m_facts.tokens, stages, m_avoided, true, now);
+    }
+    if (!replacement) {
+        return std::nullopt;
+    }
+    std::vector<path_stage> path(stages.begin(), lost);
+    path.insert(path.end(), replacement->begin(), replacement->end());
+    path.insert(path.end(), lost + 1, stages.end());
+    return path;
+}
+
+bool generation_flow::isOwnDelay(steady_time due) const
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    return now - due > MAX_THREAD_DELAY || m_state.controlDelayAt(now) > MAX_THREAD_DELAY;
+}
+
+}
