Tests: one check for a whole stream

Three test files held the same function that checks a stream for each of its events; it stands in gateway_deployment now and takes the last event. Constants of generation_stalls.cpp are aligned as the formatter wants.

--- a/src/gateway/generation_stalls.cpp
+++ b/src/gateway/generation_stalls.cpp
@@ -14,9 +14,9 @@
 constexpr milliseconds REPORT_TIMEOUT{250};   // a first server that has not reported by then counts as silent
 constexpr milliseconds MAX_THREAD_DELAY{100}; // of the own threads; beyond it a missing or failed report says nothing about the server
 constexpr milliseconds ORDER_TIMEOUT{400};
-constexpr int MAX_REPATHS = 3;                 // repath orders per lost stage
-constexpr int QUEUE_EXIT_INQUIRIES = 1;        // inquiries without result before a request leaves its first server's queue
-constexpr int MAX_EMPTY_INQUIRIES = 12;        // consecutive inquiries without result, after which a second attempt is started
+constexpr int MAX_REPATHS = 3;          // repath orders per lost stage
+constexpr int QUEUE_EXIT_INQUIRIES = 1; // inquiries without result before a request leaves its first server's queue
+constexpr int MAX_EMPTY_INQUIRIES = 12; // consecutive inquiries without result, after which a second attempt is started
 
 }
 
--- a/tests/gateway_attempt_race_test.cpp
+++ b/tests/gateway_attempt_race_test.cpp
@@ -13,15 +13,6 @@
 
 constexpr int LAST_EVENT = 3;
 
-bool isWholeStream(const std::string &got, int last = LAST_EVENT)
-{
-    bool whole = statusOf(got) == 200 && got.ends_with("0\r\n\r\n");
-    for (int id = 0; id <= last; ++id) {
-        whole = whole && countOf(got, "data: piece" + std::to_string(id) + "\n") == 1;
-    }
-    return whole;
-}
-
 std::string refusedOrder()
 {
     return "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}";
@@ -75,7 +66,7 @@
     stopped = true;
     REQUIRE(eventually([&] { return resumed.load(); }));
     site.gateways[0]->signal(SIGCONT);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(statusOf(exchange(site.front(), makeRequest("/stream/", "id2"))) == 200);
 }
 
@@ -173,6 +164,6 @@
     client.write(makeRequest("/stream/", "id1"));
     client.readUntil("piece1");
     site.addServer("i-3", "lm", spare.address(), 2, 4);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(mostRunning == 1);
 }
--- a/tests/gateway_deployment.cpp
+++ b/tests/gateway_deployment.cpp
@@ -196,4 +196,13 @@
     return count;
 }
 
+bool isWholeStream(const std::string &got, int last)
+{
+    bool whole = statusOf(got) == 200 && got.ends_with("0\r\n\r\n");
+    for (int id = 0; id <= last; ++id) {
+        whole = whole && countOf(got, "data: piece" + std::to_string(id) + "\n") == 1;
+    }
+    return whole;
+}
+
 }
--- a/tests/gateway_deployment.h
+++ b/tests/gateway_deployment.h
@@ -62,5 +62,7 @@
 // Sends a request on a new connection and reads the response until the connection closes.
 std::string exchange(const std::string &front, const std::string &bytes, int limitMs = 9000);
 int countOf(const std::string &text, const std::string &part);
+// True if the answer is a complete stream with the events 0 to `last`, each once.
+bool isWholeStream(const std::string &got, int last);
 
 }
--- a/tests/gateway_second_attempt_test.cpp
+++ b/tests/gateway_second_attempt_test.cpp
@@ -14,15 +14,6 @@
 constexpr int SILENCE_MS = 1300;
 constexpr milliseconds RELEASE_LIMIT{500}; // from the end of the client's connection until its servers are released
 
-bool isWholeStream(const std::string &got)
-{
-    bool whole = statusOf(got) == 200 && got.ends_with("0\r\n\r\n");
-    for (int id = 0; id <= LAST_EVENT; ++id) {
-        whole = whole && countOf(got, "data: piece" + std::to_string(id) + "\n") == 1;
-    }
-    return whole;
-}
-
 // Server that sends two events of each stream, falls silent, and then goes on unless `ends` is set.
 server_script silentServer(std::atomic<int> &closed, bool ends = false, int silenceMs = SILENCE_MS)
 {
@@ -65,7 +56,7 @@
     client.write(makeRequest("/stream/", "id1"));
     client.readUntil("piece1");
     site.addServer("i-2", "lm", failing.address(), 0, 4);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(failing.count() == 1);
     CHECK(closed == 0);
 }
@@ -90,7 +81,7 @@
     client.write(makeRequest("/stream/", "id1"));
     client.readUntil("piece1");
     site.addServer("i-2", "lm", slow.address(), 0, 4);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(slow.count() == 1);
 }
 
@@ -208,7 +199,7 @@
     client.readUntil("piece1");
     site.addServer("i-3", "lm", spare.address(), 2, 4);
     site.addServer("i-4", "lm", next.address(), 0, 4);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(next.count() == 1);
     CHECK(reportsOfNext >= 1);
 }
@@ -244,9 +235,9 @@
         clients.back()->write(makeRequest("/stream/", "id" + std::to_string(number)));
     }
     for (const auto &client : clients) {
-        CHECK(isWholeStream(client->readUntil("0\r\n\r\n", 5000)));
+        CHECK(isWholeStream(client->readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     }
     REQUIRE(one.count() >= 1);
     REQUIRE(two.count() >= 1);
-    CHECK(isWholeStream(exchange(site.front(), makeRequest(path, "last"))));
+    CHECK(isWholeStream(exchange(site.front(), makeRequest(path, "last")), LAST_EVENT));
 }
--- a/tests/gateway_silence_test.cpp
+++ b/tests/gateway_silence_test.cpp
@@ -74,16 +74,6 @@
     return true;
 }
 
-// True if the answer is a whole stream with each event once.
-bool isWholeStream(const std::string &got)
-{
-    bool whole = statusOf(got) == 200 && got.ends_with("0\r\n\r\n");
-    for (int id = 0; id <= LAST_EVENT; ++id) {
-        whole = whole && countOf(got, "data: piece" + std::to_string(id) + "\n") == 1;
-    }
-    return whole;
-}
-
 }
 
 //-----------------------------------------------------------------------------
@@ -104,7 +94,7 @@
     client.write(makeRequest("/stream/", "id1"));
     REQUIRE(eventually([&] { return silent.count() == 1; }));
     site.addServer("i-2", "lm", full.address(), 0, 4);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(abandoned == 0);
 }
 
@@ -134,7 +124,7 @@
     clients[0]->readUntil("\x01never", 300);
     site.gateways[0]->signal(SIGCONT);
     for (const auto &client : clients) {
-        CHECK(isWholeStream(client->readUntil("0\r\n\r\n", 5000)));
+        CHECK(isWholeStream(client->readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     }
     CHECK(other.count() <= 1);
 }
@@ -167,7 +157,7 @@
     client.write(makeRequest("/stream/", "id1"));
     REQUIRE(eventually([&] { return server.count() == 1; }));
     site.addServer("i-2", "lm", full.address(), 0, 4);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(abandoned == 0);
 }
 
@@ -187,7 +177,7 @@
     REQUIRE(eventually([&] { return silent.count() == 1; }));
     site.addServer("i-2", "lm", other.address(), 0, 4);
     const steady_time start = std::chrono::steady_clock::now();
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(std::chrono::steady_clock::now() - start < milliseconds(1900)); // clients disconnect after 2 s without an event
     CHECK(eventually([&] { return abandoned == 1; }));
 }
@@ -212,7 +202,7 @@
     client.write(makeRequest("/stream/", "id1"));
     REQUIRE(eventually([&] { return silent.count() == 1; }));
     site.addServer("i-2", "lm", slow.address(), 0, 4);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(abandoned == 0);
     client.close();
     CHECK(eventually([&] { return released == slow.count(); }));
@@ -230,7 +220,7 @@
     client.write(makeRequest("/single/", "id1"));
     REQUIRE(eventually([&] { return silent.count() == 1; }));
     site.addServer("i-2", "lm", other.address(), 0, 4);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(other.count() == 0);
 }
 
@@ -260,7 +250,7 @@
     frozen = true;
     client.readUntil("\x01never", 500); // beyond the time limit of the report
     site.gateways[0]->signal(SIGCONT);
-    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000)));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
     CHECK(site.metricsText().find("server_failures{kind=\"silent\"}") == std::string::npos);
 }
 
