--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -110,6 +110,10 @@
     if (const auto value = headerValue(line, "Content-Type"); !value.empty()) {
         self->result.contentType = value;
     }
+    const std::string &reported = self->request.reportedHeader;
+    if (const auto value = reported.empty() ? std::string_view() : headerValue(line, reported); !value.empty()) {
+        self->result.reportedValues.emplace_back(value);
+    }
     return line.size();
 }
 
--- a/src/kernel/event_loop.h
+++ b/src/kernel/event_loop.h
@@ -19,6 +19,7 @@
     std::string url;                   // http://IP:port/path
     std::string body;                  // sent with POST and PUT
     std::vector<std::string> headers;  // "Name: value"
+    std::string reportedHeader;        // name of a header of the answer whose values the result holds, empty = none
     milliseconds connectTimeout{1000}; // for establishing the connection
     milliseconds totalTimeout{0};      // for the whole exchange including the connect, 0 = no limit
     milliseconds idleTimeout{0};       // maximum time without a received byte, 0 = no limit
@@ -32,14 +33,15 @@
 // Result of an outgoing request.
 struct http_result
 {
-    int status = 0;             // HTTP status, 0 = no response
-    bool connected = false;     // the connection was established, so bytes of the request may have been sent
-    bool timedOut = false;      // one of the timeouts of the request expired
-    std::string error;          // error text of libcurl if the exchange did not complete, else empty
-    std::string body;           // received body, empty if it was passed to onData
-    milliseconds retryAfter{0}; // from the header Retry-After
-    std::string verdictHeader;  // from the header Chestnutgw-Verdict
-    std::string contentType;    // from the header Content-Type
+    int status = 0;                          // HTTP status, 0 = no response
+    bool connected = false;                  // the connection was established, so bytes of the request may have been sent
+    bool timedOut = false;                   // one of the timeouts of the request expired
+    std::string error;                       // error text of libcurl if the exchange did not complete, else empty
+    std::string body;                        // received body, empty if it was passed to onData
+    milliseconds retryAfter{0};              // from the header Retry-After
+    std::string verdictHeader;               // from the header Chestnutgw-Verdict
+    std::string contentType;                 // from the header Content-Type
+    std::vector<std::string> reportedValues; // of the request's reportedHeader, one for each time it occurs
 
     bool completed() const
     {
