--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -235,8 +235,13 @@
 
 bool eventually(const std::function<bool()> &condition)
 {
-    const steady_time limit = std::chrono::steady_clock::now() + HANG_LIMIT;
-    while (std::chrono::steady_clock::now() < limit) {
+    return eventually(condition, HANG_LIMIT);
+}
+
+bool eventually(const std::function<bool()> &condition, milliseconds limit)
+{
+    const steady_time end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
         if (condition()) {
             return true;
         }
--- a/tests/process.h
+++ b/tests/process.h
@@ -79,7 +79,8 @@
 // Sends the requests concurrently and waits for all answers.
 std::vector<http_result> requestAll(const std::vector<http_request> &requests);
 
-// Polls until the condition holds. Returns false after a limit that only a hang exceeds.
+// Polls until the condition holds. Returns false after a limit that only a hang exceeds, or after the one given.
 bool eventually(const std::function<bool()> &condition);
+bool eventually(const std::function<bool()> &condition, milliseconds limit);
 
 }
