Offsets of a store that was restored from an older copy are kept apart by epochs

Callers saw requests handled by an older configuration than the one confirmed, keys accepted after their withdrawal was confirmed, and requests sent to leaving servers; and no instance could take the coordinator's lease any more. Cause: the platform's store may come back from an older copy and assign offsets again (header Store-Era in its answers). Followers compared offsets across such a restore: a value whose offset was not above the known one was dropped, a log that had grown past the known offset was not even listed, peers' records lost against older ones, and the lease log was appended to on condition of an end that it no longer had. The fix: a position is an epoch and an offset. A new epoch begins with a complete list, read here or merged from a peer; each record of it is newer than all of earlier epochs, and whether its content is newer is decided by the version of the configuration or the server's count of heartbeats. A lease entry names the epoch in which it was sent; in a new epoch nobody appends before the term of a forgotten holder has ended, and an append that crosses the restore makes nobody the holder. It is one commit for both, since both are the same fault and positions between instances carry both.

--- a/src/core/coordinator_lease.cpp
+++ b/src/core/coordinator_lease.cpp
@@ -25,67 +25,112 @@
 
 bool coordinator_lease::heldByFormerSelf() const
 {
-    return m_holder != m_self && instanceOf(m_holder) == instanceOf(m_self);
+    const std::string &holder = m_state.newest.holder;
+    return holder != m_self && instanceOf(holder) == instanceOf(m_self);
 }
 
-void coordinator_lease::recordRead(std::uint64_t end, const std::optional<std::string> &newest, steady_time now)
+void coordinator_lease::enterEpoch(store_epoch epoch, steady_time now)
 {
-    const bool grown = end > m_end || !m_known;
+    if (epoch <= m_state.end.epoch) {
+        return;
+    }
+    m_state = {{epoch, 0}, {}};
+    m_nextRead = {epoch, 0};
+    m_known = false;
+    m_firstSeen = now;
+    m_forgottenUntil = now + m_timing.takeover;
+    m_appendSent.reset();
+    m_heldSince.reset();
+}
+
+void coordinator_lease::recordRead(log_position from, const lease_read &read, steady_time now)
+{
+    const store_epoch epoch = read.epoch == store_epoch() ? from.epoch : read.epoch;
+    const bool fromStart = from.offset == 0;
+    enterEpoch(epoch, now);
+    if (!read.ok || epoch < m_state.end.epoch || (from.epoch != epoch && !fromStart)) {
+        return;
+    }
+    m_nextRead.offset = std::max(m_nextRead.offset, read.next);
+    if (read.end == read.next) {
+        recordEnd({epoch, read.end}, read.newest, now);
+    }
+}
+
+void coordinator_lease::recordEnd(log_position end, const std::optional<lease_entry> &newest, steady_time now)
+{
+    const bool grown = end > m_state.end || !m_known;
     m_known = true;
-    m_end = std::max(m_end, end); // a read that started before our own append returns an older end
+    m_state.end = std::max(m_state.end, end); // a read that started before our own append returns an older end
     if (!newest || !grown) {
         return;
     }
-    m_holder = *newest;
+    m_state.newest = *newest;
     m_firstSeen = now;
-    if (m_holder != m_self) {
+    const bool sentInThisEpoch = newest->epoch == end.epoch;
+    if (sentInThisEpoch) {
+        m_forgottenUntil = {};
+    } else {
+        m_forgottenUntil = now + m_timing.takeover;
+    }
+    if (newest->holder != m_self) {
         m_heldSince.reset();
-    } else if (m_appendSent) {
+    } else if (m_appendSent && sentInThisEpoch) {
         m_heldSince = m_appendSent; // the append took effect even if its answer was lost
     }
 }
 
-void coordinator_lease::recordLearnedFromPeer(std::uint64_t end, const std::string &holder, steady_time now)
+void coordinator_lease::recordLearnedFromPeer(const lease_state &known, steady_time now)
 {
-    if (end > m_end && !holder.empty()) {
-        recordRead(end, holder, now);
+    if (known.end > m_state.end && !known.newest.holder.empty()) {
+        enterEpoch(known.end.epoch, now);
+        recordEnd(known.end, known.newest, now);
     }
 }
 
 bool coordinator_lease::shouldAppend(steady_time now) const
 {
-    if (!m_known || (m_appendSent && now - *m_appendSent < m_timing.renewal)) {
+    if (!m_known || now < m_forgottenUntil || (m_appendSent && now - *m_appendSent < m_timing.renewal)) {
         return false;
     }
-    if (m_holder.empty() || heldByFormerSelf()) {
+    const std::string &holder = m_state.newest.holder;
+    if (holder.empty() || heldByFormerSelf()) {
         return true;
     }
-    if (m_holder == m_self && m_heldSince) {
+    if (holder == m_self && m_heldSince) {
         return now - *m_heldSince >= m_timing.renewal;
     }
     return now - m_firstSeen >= m_timing.takeover;
 }
 
-void coordinator_lease::recordAppendSent(steady_time now)
+lease_append coordinator_lease::recordAppendSent(steady_time now)
 {
     m_appendSent = now;
-    m_appendEnd = m_end;
+    return {m_state.end, now};
 }
 
-void coordinator_lease::recordAppendResult(bool appended)
+void coordinator_lease::recordAppendResult(const lease_append &append, bool appended, store_epoch epoch, steady_time now)
 {
-    if (appended) {
-        m_heldSince = m_appendSent;
-        m_holder = m_self;
-        m_firstSeen = *m_appendSent;
-        m_end = std::max(m_end, m_appendEnd + 1); // a read may have returned our entry already
+    enterEpoch(epoch, now);
+    if (append.at.epoch != m_state.end.epoch) {
+        return; // its condition was about the log of an earlier epoch
     }
-    m_appendSent.reset();
+    if (m_appendSent == append.sent) {
+        m_appendSent.reset();
+    }
+    const log_position end{append.at.epoch, append.at.offset + 1};
+    if (!appended || end < m_state.end) { // if a later entry is known already, it was read with its holder
+        return;
+    }
+    m_heldSince = append.sent;
+    m_state = {end, ownEntry()};
+    m_firstSeen = append.sent;
+    m_forgottenUntil = {};
 }
 
 bool coordinator_lease::holds(steady_time now) const
 {
-    return m_heldSince && m_holder == m_self && now - *m_heldSince < m_timing.hold;
+    return m_heldSince && m_state.newest.holder == m_self && now - *m_heldSince < m_timing.hold;
 }
 
 }
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -86,14 +86,13 @@
         m_coordinatorConfirmed.confirmHere(now);
     }
     known.coordinator = m_coordinatorConfirmed.newest(now);
-    known.leaseEnd = m_lease.end();
-    known.leaseHolder = m_lease.holder();
+    known.lease = m_lease.state();
 }
 
 void control_plane::takeConfirmations(const peer_confirmations &known, steady_time now)
 {
     m_coordinatorConfirmed.learn(known.coordinator, now);
-    m_lease.recordLearnedFromPeer(known.leaseEnd, known.leaseHolder, now);
+    m_lease.recordLearnedFromPeer(known.lease, now);
 }
 
 // Reads the lease log only if no instance has confirmed the coordinator recently.
@@ -108,17 +107,9 @@
 
 void control_plane::readLease()
 {
-    m_port.readLease(m_leaseNext, milliseconds(0), [this](const lease_read &read) {
-        if (read.ok) {
-            std::optional<std::string> newest;
-            if (!read.entries.empty()) {
-                newest = read.entries.back().holder;
-                m_leaseNext = read.entries.back().offset + 1;
-            }
-            if (read.end == m_leaseNext) {
-                m_lease.recordRead(read.end, newest, std::chrono::steady_clock::now());
-            }
-        }
+    const log_position from = m_lease.nextRead();
+    m_port.readLease(from.offset, milliseconds(0), [this, from](const lease_read &read) {
+        m_lease.recordRead(from, read, std::chrono::steady_clock::now());
         m_leaseFailures = read.ok ? 0 : m_leaseFailures + 1;
         m_loop.after(read.ok ? leasePollInterval(m_rank) : storeRetryDelay(m_leaseFailures, m_rank), [this] { pollLease(); });
     });
@@ -133,15 +124,19 @@
     if (!m_lease.holds(now) && coordinatorAge(now) < COORDINATOR_CONFIRMATION_TTL) {
         return; // our copy of the log is out of date, but a peer has confirmed the coordinator
     }
-    m_lease.recordAppendSent(now);
-    m_port.appendLease(m_lease.end(), m_lease.self(), [this](append_outcome outcome) {
-        if (outcome == append_outcome::unknown) {
+    const lease_append append = m_lease.recordAppendSent(now);
+    m_port.appendLease(append.at.offset, m_lease.ownEntry(), [this, append](const lease_append_answer &answer) {
+        if (answer.outcome == append_outcome::unknown) {
             return; // the next read of the log shows whether it was appended
         }
-        if (outcome != append_outcome::appended) {
-            logLine(log_level::info, "lease_not_appended", {{"end", std::to_string(m_lease.end())}, {"holder", m_lease.holder()}});
+        if (answer.outcome != append_outcome::appended) {
+            logLine(log_level::info, "lease_not_appended",
+                    {{"end", std::to_string(append.at.offset)},
+                     {"epoch", std::to_string(append.at.epoch.number)},
+                     {"answered_epoch", std::to_string(answer.epoch.number)},
+                     {"holder", m_lease.state().newest.holder}});
         }
-        m_lease.recordAppendResult(outcome == append_outcome::appended);
+        m_lease.recordAppendResult(append, answer.outcome == append_outcome::appended, answer.epoch, std::chrono::steady_clock::now());
     });
 }
 
@@ -156,7 +151,10 @@
     const bool coordinator = m_lease.holds(now);
     if (coordinator != m_wasCoordinator) {
         m_wasCoordinator = coordinator;
-        logLine(log_level::info, coordinator ? "lease_taken" : "lease_lost", {{"holder", m_lease.holder()}, {"end", std::to_string(m_lease.end())}});
+        logLine(log_level::info, coordinator ? "lease_taken" : "lease_lost",
+                {{"holder", m_lease.state().newest.holder},
+                 {"end", std::to_string(m_lease.state().end.offset)},
+                 {"epoch", std::to_string(m_lease.state().end.epoch.number)}});
         m_counters.set("gives_orders", coordinator ? 1 : 0);
     }
     if (coordinator && m_config && m_fleet && now - m_fleetChanged >= (mostlyEmpty() ? FLEET_STARTUP_SETTLE_TIME : NEW_SERVER_SETTLE_TIME)) {
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -70,9 +70,8 @@
     metrics &m_counters;
     control_handler m_handler;
     coordinator_lease m_lease;
-    std::uint64_t m_leaseNext = 0; // next offset of the lease log to read
-    int m_rank = 0;                // see setRank()
-    int m_leaseFailures = 0;       // consecutive failed reads of the lease log
+    int m_rank = 0;          // see setRank()
+    int m_leaseFailures = 0; // consecutive failed reads of the lease log
     bool m_wasCoordinator = false;
     confirmation_clock m_coordinatorConfirmed; // by the coordinator: it holds the lease
     std::shared_ptr<const gateway_config> m_config;
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -36,20 +36,6 @@
     std::string keyScheme; // authentication scheme before the key, including the space
 };
 
-// An entry of the lease log. The newest entry names the coordinator.
-struct lease_entry
-{
-    std::string holder;       // instance name and incarnation
-    std::uint64_t offset = 0; // position in the lease log
-};
-
-struct lease_read
-{
-    bool ok = false;
-    std::uint64_t end = 0; // offset of the next record
-    std::vector<lease_entry> entries;
-};
-
 enum class append_outcome
 {
     appended,
@@ -58,6 +44,12 @@
     unknown,      // no answer: the entry may have been appended or may still be
 };
 
+struct lease_append_answer
+{
+    append_outcome outcome;
+    store_epoch epoch; // of the answer, 0 = not told
+};
+
 // State that a backend server reports.
 struct server_report
 {
@@ -131,7 +123,7 @@
     // Reads the lease entries from an offset on; waits up to `wait` if there is none yet.
     virtual void readLease(std::uint64_t from, milliseconds wait, std::function<void(lease_read)> done) = 0;
     // Appends an entry if the lease log still ends at `end`.
-    virtual void appendLease(std::uint64_t end, const std::string &holder, std::function<void(append_outcome)> done) = 0;
+    virtual void appendLease(std::uint64_t end, const lease_entry &entry, std::function<void(lease_append_answer)> done) = 0;
 
     // Reads a server's state.
     virtual void fetchReport(const std::string &address, const server_id &server, std::function<void(server_report)> done) = 0;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -67,7 +67,11 @@
 
 update_position toUpdatePosition(const wire::gateway_state &message)
 {
-    return {message.config_version(), message.fleet_offset(), message.member_offset(), message.wants_config()};
+    return {message.config_version(),
+            {message.config_epoch()},
+            {{message.fleet_epoch()}, message.fleet_offset()},
+            {{message.member_epoch()}, message.member_offset()},
+            message.wants_config()};
 }
 
 // Clamps a received number to the range of an enumeration.
@@ -227,17 +231,22 @@
     message->set_address(m_settings.address);
     const update_position position = m_handler.position();
     message->set_config_version(position.configVersion);
-    message->set_fleet_offset(position.fleetOffset);
-    message->set_member_offset(position.memberOffset);
+    message->set_config_epoch(position.configEpoch.number);
+    message->set_fleet_epoch(position.fleet.epoch.number);
+    message->set_fleet_offset(position.fleet.offset);
+    message->set_member_epoch(position.members.epoch.number);
+    message->set_member_offset(position.members.offset);
     message->set_wants_config(position.wantsConfig);
     const peer_confirmations known = m_handler.confirmations();
     toMessage(known.config, message->mutable_config_confirmation());
     toMessage(known.fleet, message->mutable_fleet_confirmation());
     toMessage(known.coordinator, message->mutable_coordinator_confirmation());
-    message->set_lease_end(known.leaseEnd);
-    message->set_lease_holder(known.leaseHolder);
+    message->set_lease_epoch(known.lease.end.epoch.number);
+    message->set_lease_end(known.lease.end.offset);
+    message->set_lease_holder(known.lease.newest.holder);
+    message->set_lease_holder_epoch(known.lease.newest.epoch.number);
     const bool config = since.wantsConfig && position.configVersion > since.configVersion;
-    if (config || position.fleetOffset > since.fleetOffset || position.memberOffset > since.memberOffset) {
+    if (config || position.fleet > since.fleet || position.members > since.members) {
         message->set_news(m_handler.exportUpdates(since));
     }
 }
@@ -259,8 +268,9 @@
     if (!message.news().empty()) {
         m_handler.importUpdates(message.news());
     }
+    const lease_state lease{{{message.lease_epoch()}, message.lease_end()}, {message.lease_holder(), {message.lease_holder_epoch()}}};
     const peer_confirmations known{toConfirmation(message.config_confirmation()), toConfirmation(message.fleet_confirmation()),
-                                   toConfirmation(message.coordinator_confirmation()), message.lease_end(), message.lease_holder()};
+                                   toConfirmation(message.coordinator_confirmation()), lease};
     m_handler.onConfirmations(known, toUpdatePosition(message));
 }
 
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -4,6 +4,8 @@
 // through the platform's store and through the calls that they receive.
 
 #include "core/confirmation_clock.h"
+#include "core/coordinator_lease.h"
+#include "core/log_position.h"
 #include "core/shared_load.h"
 #include "kernel/event_loop.h"
 #include "kernel/metrics.h"
@@ -15,23 +17,23 @@
 namespace chestnut
 {
 
-// Version and offsets up to which an instance has the updates of the platform.
+// Version and positions up to which an instance has the updates of the platform.
 struct update_position
 {
     std::uint64_t configVersion = 0;
-    std::uint64_t fleetOffset = 0;
-    std::uint64_t memberOffset = 0;
+    store_epoch configEpoch; // in which the configuration was last read from the store
+    log_position fleet;
+    log_position members;
     bool wantsConfig = false; // cannot read the configuration from the platform itself
 };
 
 // Newest confirmations that this or any other instance got.
 struct peer_confirmations
 {
-    confirmation config;        // by the store: no configuration is missing
-    confirmation fleet;         // by the store: no change of the servers is missing
-    confirmation coordinator;   // by the coordinator: it holds its lease
-    std::uint64_t leaseEnd = 0; // end of the lease log, as far as known
-    std::string leaseHolder;    // holder in the entry before that end
+    confirmation config;      // by the store: no configuration is missing
+    confirmation fleet;       // by the store: no change of the servers is missing
+    confirmation coordinator; // by the coordinator: it holds its lease
+    lease_state lease;        // the lease log, as far as known
 };
 
 // An instance as it registered itself.
