A lease counts from the first of several appends on the same end of the log

An append that is not answered for 0.9 s is sent again. If the first one had taken effect, a read of the entry, or nothing at all, counted the lease from the second: the holder's term ended up to 0.9 s later than the others assume (0.1 s after they may take over), or, if the second append had been refused meanwhile, the holder did not know that it held the lease and everybody waited 2.8 s. Now the first send on that end of the log counts.

--- a/src/core/coordinator_lease.cpp
+++ b/src/core/coordinator_lease.cpp
@@ -40,6 +40,7 @@
     m_firstSeen = now;
     m_forgottenUntil = now + m_timing.takeover;
     m_appendSent.reset();
+    m_firstSend = {};
     m_heldSince.reset();
 }
 
@@ -75,8 +76,8 @@
     }
     if (newest->holder != m_self) {
         m_heldSince.reset();
-    } else if (m_appendSent && sentInThisEpoch) {
-        m_heldSince = m_appendSent; // the append took effect even if its answer was lost
+    } else if (sentInThisEpoch && m_firstSend.sent != steady_time() && end.offset == m_firstSend.at.offset + 1) {
+        m_heldSince = m_firstSend.sent; // an append took effect though it was not answered, perhaps the first of several
     }
 }
 
@@ -106,7 +107,11 @@
 lease_append coordinator_lease::recordAppendSent(steady_time now)
 {
     m_appendSent = now;
-    return {m_state.end, now};
+    const lease_append append{m_state.end, now};
+    if (m_firstSend.sent == steady_time() || m_firstSend.at != append.at) {
+        m_firstSend = append;
+    }
+    return append;
 }
 
 void coordinator_lease::recordAppendResult(const lease_append &append, bool appended, store_epoch epoch, steady_time now)
--- a/src/core/coordinator_lease.h
+++ b/src/core/coordinator_lease.h
@@ -121,6 +121,7 @@
     steady_time m_firstSeen{};               // when the newest entry was first seen
     steady_time m_forgottenUntil{};          // a holder that the restored store has forgotten may hold the lease until then
     std::optional<steady_time> m_appendSent; // start of the append in progress
+    lease_append m_firstSend;                // first append that was conditional on the end of the last one; it may be executed late
     std::optional<steady_time> m_heldSince;  // start of the append that took or renewed the lease
 };
 
--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -250,6 +250,23 @@
     CHECK(holder.nextRead() == log_position{second, 0});
 }
 
+TEST_CASE("a lease whose append was sent twice is held no longer than from the first one", "[unit]")
+{
+    coordinator_lease lease("a", {});
+    recordRead(lease, 0, std::nullopt, NOW);
+    lease.recordAppendSent(NOW);
+    const steady_time again = NOW + TIMING.renewal;
+    REQUIRE(lease.shouldAppend(again));
+    const lease_append second = lease.recordAppendSent(again);
+    const bool refusedFirst = GENERATE(true, false); // the answer to the second append comes before the read
+    if (refusedFirst) {
+        lease.recordAppendResult(second, false, {}, again);
+    }
+    recordRead(lease, 1, "a", again); // the first append took effect; its answer was lost
+    CHECK(lease.holds(again));
+    CHECK_FALSE(lease.holds(NOW + TIMING.hold));
+}
+
 TEST_CASE("an append sent before a restore and executed after it makes nobody the holder", "[unit]")
 {
     coordinator_lease lease("a#1", {});
