Soak: the store comes back from an older copy beside changes of the configuration

The soak draws restores: the store keeps a copy, goes away, comes back in the next epoch, and the operator and the servers write again what it forgot up to 1.2 s later; a key is added shortly after. The servers of the soak count the entries that they write and keep their start time, as real ones do; before, each entry looked like a new start. The judge of late configurations now also judges keys that were confirmed while the store was impaired: it looks at whether the store is calm at the request, as the rule says, not since the confirmation; that is stricter.

--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -113,16 +113,18 @@
     m_up = true;
     m_draining = false;
     m_sequence = 0;
+    m_born = wallClockMs();
+    m_entries = 0;
     m_acceptor = std::thread([this, boot = ++m_boot] { accept(boot); });
 }
 
 void backend_server::list(const std::string &state)
 {
     std::string id;
-    json entry{{"Service", m_plan.service}, {"Address", m_address}, {"Zone", "a"}, {"BatchSlots", SLOTS}, {"State", state},
-               {"born", wallClockMs()},     {"Sequence", 1}};
+    json entry{{"Service", m_plan.service}, {"Address", m_address}, {"Zone", "a"}, {"BatchSlots", SLOTS}, {"State", state}, {"born", m_born}, {"Sequence", 0}};
     {
         const std::lock_guard lock(m_all.mutex);
+        entry["Sequence"] = ++m_entries;
         id = idLocked();
         if (m_plan.held.to > 0) {
             entry["RouteType"] = "k";
--- a/tests/soak/backend.h
+++ b/tests/soak/backend.h
@@ -138,7 +138,9 @@
     bool m_up = false;
     bool m_draining = false;
     int m_boot = 0;
-    int m_sequence = 0; // orders begun since the start
+    int m_sequence = 0;      // orders begun since the start
+    std::int64_t m_born = 0; // time of the start
+    int m_entries = 0;       // written to the store since the start
     int m_running = 0;
     layer_span m_held;
     steady_time m_silentUntil{};
--- a/tests/soak/judges.cpp
+++ b/tests/soak/judges.cpp
@@ -203,7 +203,7 @@
         const milliseconds since = m_seen.keys.at(one.key);
         const auto accepted = m_accepted.find(process);
         const bool regressed = accepted != m_accepted.end() && one.sent > accepted->second + ROLLBACK_SLACK;
-        const bool late = one.sent > since + CONFIG_APPLY && inTouch(one) && storeCalm(since, one.sent);
+        const bool late = one.sent > since + CONFIG_APPLY && inTouch(one) && storeCalm(one.sent, one.sent);
         if (regressed || late) {
             report("CONFIG", one,
                    std::to_string(one.status) + " for key " + one.key + " in force since " + std::to_string(since.count())
--- a/tests/soak/rig.cpp
+++ b/tests/soak/rig.cpp
@@ -13,13 +13,14 @@
 using nlohmann::json;
 
 constexpr milliseconds STEP{10};
-constexpr milliseconds LATE{200};            // a rig that is later than this cannot judge times
-constexpr milliseconds READY_INTERVAL{1000}; // between two readiness checks
-constexpr milliseconds READY_LIMIT{400};     // for the answer to a readiness check
-constexpr int MAX_MISSES = 2;                // in a row, until a gateway takes no new connections
-constexpr milliseconds GRACE{5000};          // from SIGTERM to SIGKILL
-constexpr milliseconds DRAIN_LENGTH{3500};   // from the entry of a draining server until it leaves
-constexpr int MANY_ROUTES = 1500;            // added by one configuration
+constexpr milliseconds LATE{200};               // a rig that is later than this cannot judge times
+constexpr milliseconds READY_INTERVAL{1000};    // between two readiness checks
+constexpr milliseconds READY_LIMIT{400};        // for the answer to a readiness check
+constexpr int MAX_MISSES = 2;                   // in a row, until a gateway takes no new connections
+constexpr milliseconds GRACE{5000};             // from SIGTERM to SIGKILL
+constexpr milliseconds DRAIN_LENGTH{3500};      // from the entry of a draining server until it leaves
+constexpr milliseconds MAX_REWRITE_DELAY{1200}; // until the operator and the servers write again what a restored store forgot
+constexpr int MANY_ROUTES = 1500;               // added by one configuration
 constexpr int MAX_EXTRA_ROUTES = 6000;
 
 json plainRoute(const std::string &name, const char *kind, int timeoutMs, int attempts, int weight)
@@ -221,6 +222,8 @@
         return reconfigure(one);
     case action::store:
         return disturbStore(one);
+    case action::restore:
+        return restoreStore(one);
     default:
         applyToGateway(one);
     }
@@ -340,6 +343,32 @@
     schedule(one.length, [this] { m_store.setFault(0, platform::store_fault::none); });
 }
 
+void rig::restoreStore(const event &one)
+{
+    const milliseconds rewrites(MAX_REWRITE_DELAY.count() * one.variant / 1000);
+    m_store.keepCopy();
+    schedule(one.copyAge, [this, one, rewrites] {
+        const milliseconds now = m_book.now();
+        m_book.add(incident{now, now + one.length + rewrites, "restore", "store", false});
+        m_store.setFault(0, platform::store_fault::reset);
+    });
+    schedule(one.copyAge + one.length, [this, rewrites] {
+        const std::vector<platform::written_record> forgotten = m_store.restore();
+        m_store.setFault(0, platform::store_fault::none);
+        schedule(rewrites, [this, forgotten] { writeAgain(forgotten); });
+    });
+}
+
+// The operator and the servers write what the store has forgotten, unless they have written something newer meanwhile.
+void rig::writeAgain(const std::vector<platform::written_record> &forgotten)
+{
+    for (const platform::written_record &record : forgotten) {
+        if (!m_store.writtenSinceRestore(record.topic, record.key)) {
+            m_store.put(record.topic, record.key, record.value);
+        }
+    }
+}
+
 //-----------------------------------------------------------------------------
 // What clients see
 //-----------------------------------------------------------------------------
--- a/tests/soak/rig.h
+++ b/tests/soak/rig.h
@@ -62,6 +62,8 @@
     void applyToGateway(const event &one);
     void reconfigure(const event &one);
     void disturbStore(const event &one);
+    void restoreStore(const event &one);
+    void writeAgain(const std::vector<platform::written_record> &forgotten);
     void schedule(milliseconds delay, std::function<void()> task);
     void runDue();
     // Restarts a gateway that has ended after SIGTERM or by itself.
--- a/tests/soak/timeline.cpp
+++ b/tests/soak/timeline.cpp
@@ -12,6 +12,8 @@
 
 constexpr milliseconds QUIET_START{1500};
 constexpr milliseconds QUIET_END{1500};
+constexpr milliseconds FIRST_RESTORE{3000};
+constexpr milliseconds RESTORE_INTERVAL{6000};
 constexpr milliseconds GATEWAY_ABSENCE{8000}; // no further event for a gateway after a signal that ends it
 constexpr milliseconds SERVER_ABSENCE{5000};  // no further crash or drain of a server
 
@@ -30,6 +32,7 @@
         for (milliseconds at = QUIET_START; at < m_end; at += milliseconds(600 + draw(1600))) {
             drawEpisode(at);
         }
+        drawRestores();
         std::stable_sort(m_drawn.events.begin(), m_drawn.events.end(), [](const event &left, const event &right) { return left.at < right.at; });
         return m_drawn;
     }
@@ -118,6 +121,27 @@
         }
     }
 
+    // The store is away for a moment and comes back from an older copy; drawn last, so that a seed keeps its other events.
+    void drawRestores()
+    {
+        for (milliseconds at = FIRST_RESTORE; at < m_end; at += RESTORE_INTERVAL) {
+            event one{at + milliseconds(draw(2000)), action::restore, 0, milliseconds(50 + draw(700)), draw(1000), milliseconds(300 + draw(2500))};
+            if (draw(3) == 0) {
+                continue;
+            }
+            m_drawn.events.push_back(one);
+            const milliseconds away = one.at + one.copyAge;
+            for (int forgotten = draw(3); forgotten > 0; --forgotten) {
+                add(away - milliseconds(50 + draw(250)), action::reconfigure);
+            }
+            add(away + one.length + milliseconds(draw(1500)), config_change::new_key);
+        }
+    }
+    void add(milliseconds at, config_change what)
+    {
+        m_drawn.events.push_back({at, action::reconfigure, 0, milliseconds(0), static_cast<int>(what), milliseconds(0)});
+    }
+
     void add(milliseconds at, action what)
     {
         const bool ofServer = what == action::silence || what == action::refuse || what == action::crash || what == action::drain;
@@ -126,7 +150,7 @@
 
     void add(milliseconds at, action what, int number)
     {
-        event one{at, what, number, milliseconds(0), draw(1000)};
+        event one{at, what, number, milliseconds(0), draw(1000), milliseconds(0)};
         const bool ofServer = what == action::silence || what == action::refuse || what == action::crash || what == action::drain;
         const bool ofGateway = what == action::hangup || what == action::terminate || what == action::freeze || what == action::kill;
         switch (what) {
@@ -183,7 +207,7 @@
 
 const char *toText(action what)
 {
-    static constexpr const char *NAMES[] = {"silence", "refuse", "crash", "drain", "reconfigure", "hangup", "terminate", "freeze", "kill", "store"};
+    static constexpr const char *NAMES[] = {"silence", "refuse", "crash", "drain", "reconfigure", "hangup", "terminate", "freeze", "kill", "store", "restore"};
     return NAMES[static_cast<int>(what)];
 }
 
@@ -206,6 +230,8 @@
         text += drawn.servers[static_cast<std::size_t>(one.target)].name;
     } else if (one.what == action::reconfigure) {
         return text + toText(static_cast<config_change>(one.variant % 5));
+    } else if (one.what == action::restore) {
+        text += "from a copy " + std::to_string(one.copyAge.count()) + " ms old, away";
     } else if (one.what != action::store) {
         text += "g" + std::to_string(one.target);
     }
--- a/tests/soak/timeline.h
+++ b/tests/soak/timeline.h
@@ -21,7 +21,8 @@
     terminate,   // SIGTERM to a gateway and a restart
     freeze,      // SIGSTOP to a gateway, SIGCONT later
     kill,        // SIGKILL to a gateway and a restart
-    store        // the store fails
+    store,       // the store fails
+    restore      // the store comes back from an older copy
 };
 
 const char *toText(action what);
@@ -44,7 +45,8 @@
     action what = action::silence;
     int target = 0; // number of the server or gateway
     milliseconds length{0};
-    int variant = 0; // of a configuration or a fault of the store
+    int variant = 0;         // of a configuration or a fault of the store
+    milliseconds copyAge{0}; // of a restore: age of the copy when the store goes away
 };
 
 struct timeline
