--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -1,7 +1,6 @@
 // Tests the adapter's decoders, and its client and follower of the platform's store against a test double of the store.
 
-#include "platform/keyed_follower.h"
-#include "platform/standin/store_standin.h"
+#include "followed_topic.h"
 #include "process.h"
 
 #include <catch2/catch.hpp>
@@ -11,6 +10,7 @@
 using namespace chestnut;
 using namespace chestnut::platform;
 using chestnut::test::eventually;
+using chestnut::test::followed_topic;
 
 namespace
 {
@@ -118,61 +118,6 @@
 // Store
 //-----------------------------------------------------------------------------
 
-namespace
-{
-
-// Follower of a topic on its own event loop; the test reads the values that it reported.
-struct followed_topic
-{
-    explicit followed_topic(const store_standin &store, milliseconds outageRemovalDelay = milliseconds(0), int endpoint = 0,
-                            milliseconds wait = milliseconds(0))
-        : client(loop, store.url(endpoint), counters)
-        , follower(loop, client, "keyed.servers", {wait, milliseconds(20), outageRemovalDelay}, handler())
-    {
-        loop.run([this] { follower.start(); });
-    }
-    ~followed_topic()
-    {
-        loop.stop();
-    }
-    keyed_handler handler()
-    {
-        return {[this](const std::string &key, const std::string &value) {
-                    const bool same = get(key) == value;
-                    set(key, value);
-                    return same ? value_effect::unchanged : value_effect::changed;
-                },
-                [this](const std::string &key) { set(key, ""); },
-                [] {},
-                [](bool) {},
-                {}};
-    }
-    void set(const std::string &key, const std::string &value)
-    {
-        const std::lock_guard lock(mutex);
-        value.empty() ? (void)values.erase(key) : (void)(values[key] = value);
-    }
-    std::string get(const std::string &key)
-    {
-        const std::lock_guard lock(mutex);
-        return values.contains(key) ? values[key] : "";
-    }
-    std::size_t size()
-    {
-        const std::lock_guard lock(mutex);
-        return values.size();
-    }
-
-    metrics counters;
-    std::mutex mutex; // guards values
-    std::map<std::string, std::string> values;
-    event_loop loop{"test"};
-    store_client client;
-    keyed_follower follower;
-};
-
-}
-
 TEST_CASE("a follower lists several pages, then reads new records and removes keys", "[failure]")
 {
     store_standin store;
