--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINT_ARGS = --extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-D__cpp_coroutines=201703L \
   --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1
 
-.PHONY: all packages build test soak demo format check-format lint models words clean
+.PHONY: all packages build test soak soak-short demo format check-format lint models words clean
 
 all: build
 
@@ -25,6 +25,10 @@
 soak: build
 	$(BUILD)/bin/chestnutgw-soak --set soak.seed=$(or $(SEED),1) --set soak.seconds=$(or $(SECONDS),10) --set soak.folder=$(BUILD)/soak
 
+# About a minute and a half; each seed plays a restore of the store or a series of failures beside changes.
+soak-short: build
+	scripts/soak-seeds.sh $(BUILD) 6 8 11 12 28 40
+
 demo: build
 	scripts/demo.sh $(BUILD)
 
--- /dev/null
+++ b/scripts/soak-seeds.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Plays the fault soak for ten seconds with each seed: soak-seeds.sh BUILD SEED... Fails if a rule is broken, and then prints that report.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+BUILD=$1
+shift
+failed=0
+for seed in "$@"; do
+    report="$BUILD/soak-$seed.txt"
+    if "$BUILD/bin/chestnutgw-soak" --set "soak.seed=$seed" --set soak.seconds=10 --set "soak.folder=$BUILD/soak-$seed" > "$report" 2>&1; then
+        tail -1 "$report"
+    else
+        cat "$report"
+        failed=1
+    fi
+done
+exit $failed
--- a/src/core/coordinator_lease.h
+++ b/src/core/coordinator_lease.h
@@ -62,8 +62,8 @@
 // An append in progress.
 struct lease_append
 {
-    log_position at; // end of the log on which it is conditional
-    steady_time sent{};
+    log_position at;    // end of the log on which it is conditional
+    steady_time sent{}; // 0 = none
 };
 
 class coordinator_lease
@@ -116,7 +116,7 @@
     std::string m_self;
     coordinator_lease_timing m_timing;
     lease_state m_state;
-    log_position m_nextRead;
+    log_position m_nextRead;                 // see nextRead()
     bool m_known = false;                    // the log has been read at least once in this epoch
     steady_time m_firstSeen{};               // when the newest entry was first seen
     steady_time m_forgottenUntil{};          // a holder that the restored store has forgotten may hold the lease until then
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -46,7 +46,7 @@
 
 struct lease_append_answer
 {
-    append_outcome outcome;
+    append_outcome outcome = append_outcome::unknown;
     store_epoch epoch; // of the answer, 0 = not told
 };
 
