--- a/src/core/log_position.h
+++ b/src/core/log_position.h
@@ -3,6 +3,7 @@
 // Positions in the log of the platform's store. The store may come back from an older copy: then it has forgotten its newest records
 // and assigns their offsets again. It counts these restores as epochs, so offsets can be compared within one epoch only.
 
+#include <compare>
 #include <cstdint>
 
 namespace chestnut
