Logs of a broken attempt name its server, its age and the parts of its prompt

The line attempt_broken and the counter attempts_broken are written for each attempt that its server ended; the parts of prompts are parsed by core/prompt_parts. No decision is changed.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -304,6 +304,7 @@
     facts.service = pickService(*facts.matched, m_state.draw());
     facts.deadline = facts.accepted + answerTime(parseLeadingNumber(viewOf(message[headerNames.deadline])), facts.matched->timeout);
     readTokenCounts(message, headerNames, facts);
+    readPromptParts(message, headerNames, facts);
     if (m_state.draining && facts.accepted + maxAnswerTime(facts) > m_state.drainEnd) {
         co_await rejectRequest(503, "stopping", facts.id, drainRetryAfter(facts.accepted));
         co_return false;
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -1,5 +1,6 @@
 #include "gateway/generation_flow.h"
 
+#include "core/prompt_parts.h"
 #include "gateway/spawn.h"
 #include "kernel/scope.h"
 
@@ -176,6 +177,7 @@
     const std::string bytes = encodeRequest(target, extra, start);
     ++m_outcome.runs; // taken back if the server refuses
     attempt.lastData = std::chrono::steady_clock::now();
+    attempt.sent = attempt.lastData;
     spawnLogged(m_state.context, "stall_monitor", monitorStalls(shared_from_this(), attempt.shared_from_this()));
     status = co_await exchange.send(bytes, m_facts.deadline);
     co_return status == exchange_status::ok ? opening_state::pending : noteBroken(attempt, exchange, status);
@@ -190,6 +192,7 @@
     const answer_head &head = exchange.head();
     attempt.headRead = true;
     attempt.lastData = std::chrono::steady_clock::now();
+    attempt.firstData = attempt.lastData;
     noteLoad(head, exchange.address());
     noteQuietPeriod(head, exchange.address());
     noteLeaving(head, exchange.address());
@@ -421,12 +424,34 @@
     }
     m_outcome.silence = attempt.silence(std::chrono::steady_clock::now());
     m_outcome.lastEnd = overdue() ? attempt_end::deadline : attempt_end::server_broke;
+    logBroken(attempt, status);
     if (!overdue()) {
         avoid(exchange.address(), status == exchange_status::timed_out ? failure_kind::silent : failure_kind::broken);
     }
     return opening_state::broken;
 }
 
+void generation_flow::logBroken(const stream_attempt &attempt, exchange_status status)
+{
+    m_state.counters.count("attempts_broken", {{"began", attempt.headRead ? "yes" : "no"}, {"status", toText(status)}});
+    const steady_time now = std::chrono::steady_clock::now();
+    if (!m_state.logLimiter.take(now)) {
+        return;
+    }
+    const auto age = [now](steady_time since) {
+        return since == steady_time() ? "" : std::to_string(std::chrono::duration_cast<milliseconds>(now - since).count());
+    };
+    logLine(log_level::info, "attempt_broken",
+            {{"request", m_facts.id},
+             {"server", attempt.first().server.text},
+             {"address", attempt.first().address},
+             {"status", toText(status)},
+             {"sent_ms", age(attempt.sent)},
+             {"began_ms", age(attempt.firstData)},
+             {"events", std::to_string(attempt.splitter.events())},
+             {"parts", joinParts(m_facts.parts)}});
+}
+
 asio::awaitable<void> generation_flow::finishFailed(const char *reason)
 {
     if (m_streamBegan) {
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -61,6 +61,8 @@
     asio::awaitable<bool> forwardEvents(stream_attempt &attempt, const std::string &events);
     // Notes that the server has ended the exchange, unless the gateway has. Returns `broken`.
     opening_state noteBroken(const stream_attempt &attempt, const upstream_exchange &exchange, exchange_status status);
+    // Logs what ran at the server, so that the requests of several servers that ended can be compared.
+    void logBroken(const stream_attempt &attempt, exchange_status status);
     // Ends the request after its last attempt: closes a stream that has begun, else sends an error answer.
     asio::awaitable<void> finishFailed(const char *reason);
 
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -27,6 +27,7 @@
     std::string serverLoad;     // running requests, waiting requests, slots
     std::string notRun;         // present if the server did not run the request
     std::string tokenCount;     // prompt tokens, maximum of answer tokens
+    std::string promptParts;    // parts of the prompt in order, as ID:TOKENS, separated by commas
     std::string lengthHint;     // the client's estimate of the answer tokens
     std::string priority;       // 0 = highest
     std::string path;           // stages of a generation
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -38,6 +38,7 @@
     std::string id;             // request id sent by the client; differs for each of its attempts
     steady_time accepted;       // when the request had been read
     steady_time deadline;       // for the whole answer
+    std::vector<part_id> parts; // of its prompt that other requests may share
     double tokens = 0;          // prompt tokens plus expected answer tokens
     double maxAnswerTokens = 0; // upper limit of the answer tokens
 };
--- a/src/gateway/request_limits.cpp
+++ b/src/gateway/request_limits.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request_limits.h"
 
+#include "core/prompt_parts.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -39,6 +41,16 @@
     facts.maxAnswerTokens = std::clamp(most, 0.0, MAX_TOKENS);
 }
 
+void readPromptParts(const client_message &message, const header_names &headerNames, request_facts &facts)
+{
+    std::string list;
+    const auto [first, last] = message.equal_range(headerNames.promptParts);
+    for (auto line = first; line != last; ++line) { // several lines of a header are one list
+        list.append(list.empty() ? "" : ",").append(viewOf(line->value()));
+    }
+    facts.parts = sharedPromptParts(facts.service, list);
+}
+
 milliseconds answerTime(std::optional<double> clientLimitMs, milliseconds routeLimit)
 {
     const milliseconds most = routeLimit.count() > 0 ? routeLimit : MAX_ANSWER_TIME;
--- a/src/gateway/request_limits.h
+++ b/src/gateway/request_limits.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Size and time of a request as its headers and its route state them. Pure; numbers of clients may be missing or absurd.
+// Size, parts and time of a request as its headers and its route state them. Pure; numbers of clients may be missing or absurd.
 
 #include "gateway/request_flow.h"
 
@@ -16,6 +16,9 @@
 // Reads the prompt tokens and the expected and maximum answer tokens of a generation from the headers.
 void readTokenCounts(const client_message &message, const header_names &headerNames, request_facts &facts);
 
+// Reads the parts of the prompt that other requests may share.
+void readPromptParts(const client_message &message, const header_names &headerNames, request_facts &facts);
+
 // Time for the whole answer: the client's limit or the route's, whichever is shorter. A route limit of 0 means none.
 milliseconds answerTime(std::optional<double> clientLimitMs, milliseconds routeLimit);
 
--- a/src/gateway/stream_attempt.h
+++ b/src/gateway/stream_attempt.h
@@ -60,6 +60,8 @@
     asio::steady_timer stallTimer; // cancelled when the attempt ends
     std::string firstPiece;        // of the body, read while opening
     event_splitter splitter;
+    steady_time sent{};           // when the request was sent, 0 = it was not
+    steady_time firstData{};      // first data of the answer, 0 = none
     steady_time lastData;         // last data of the server, or the start
     steady_time lastInquiry{};    // end of the last inquiry
     int emptyInquiries = 0;       // consecutive inquiries without result since the last data
--- a/src/kernel/ids.h
+++ b/src/kernel/ids.h
@@ -36,6 +36,7 @@
 using instance_id = strong_id<struct instance_tag>; // instance of chestnutgw
 using domain_id = strong_id<struct domain_tag>;     // failure domain
 using request_id = strong_id<struct request_tag>;
+using part_id = strong_id<struct part_tag>; // part of a prompt that requests share, as SERVICE/ID
 
 // Position of a record in a stream of the log service. The first record has offset 1.
 struct log_offset
