--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -438,9 +438,8 @@
     if (!m_state.logLimiter.take(now)) {
         return;
     }
-    const auto age = [now](steady_time since) {
-        return since == steady_time() ? "" : std::to_string(std::chrono::duration_cast<milliseconds>(now - since).count());
-    };
+    const auto age
+        = [now](steady_time since) { return since == steady_time() ? "" : std::to_string(std::chrono::duration_cast<milliseconds>(now - since).count()); };
     logLine(log_level::info, "attempt_broken",
             {{"request", m_facts.id},
              {"server", attempt.first().server.text},
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -161,20 +161,24 @@
 
 scripted_server::~scripted_server()
 {
-    m_stopping = true;
-    ::shutdown(m_listener.get(), SHUT_RDWR);
+    end();
     m_acceptor.join();
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const raw_connection &connection : m_connections) {
-            connection.shutdown();
-        }
-    }
+    end(); // connections accepted meanwhile
     for (std::thread &worker : m_workers) {
         worker.join();
     }
 }
 
+void scripted_server::end()
+{
+    m_stopping = true;
+    ::shutdown(m_listener.get(), SHUT_RDWR);
+    const std::lock_guard lock(m_mutex);
+    for (const raw_connection &connection : m_connections) {
+        connection.shutdown();
+    }
+}
+
 std::string scripted_server::address() const
 {
     return "127.0.0.1:" + std::to_string(m_port);
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -61,6 +61,12 @@
     scripted_server &operator=(const scripted_server &) = delete;
 
     std::string address() const;
+    // Ends the server as if its process had: its connections are closed and new ones refused. May be called by its script.
+    void end();
+    bool ended() const
+    {
+        return m_stopping;
+    }
     std::vector<raw_request> requests() const;
     // Number of requests, without those to /report and /order.
     int count() const;
