Parts of prompts that end servers are quarantined, by evidence that all instances share

Cause: no decision of the gateway knew what ran at a server when its process ended. Health is kept by server, so the request went on to the next sound server 5 ms later, and the next request with the part to another one; each instance knew of its own requests only.

What changes: after a connection broke under a request that its server had not answered for half a second, one report is asked; if the process is gone, the parts of the request are evidence (core/crash_evidence: ends by process, merged between instances, each instance sends a peer what it lacks). core/part_quarantine finds the parts that explain the ends best: processes that ended under a part since a server last lived on with it, three of them, five for a part that was known as sound within a minute; ends at one moment count once; ends that a quarantined part explains don't count against weaker ones. Under suspicion (one less) a part runs one request at a time at an instance and none is repeated. Quarantined: 503, not run, at once; at most three trials over all instances, claimed before they are sent; a trial that its server survives ends it, so does an hour. The evidence against a quarantined part is kept in the platform's store as well, for instances that all restart at once.

Why it works: the evidence is a property of the part, not of a server or a request, and each end is counted once, whoever saw it.

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -5,7 +5,7 @@
 namespace chestnut
 {
 
-const setting_row<gateway_settings> GATEWAY_SETTINGS[17] = {
+const setting_row<gateway_settings> GATEWAY_SETTINGS[18] = {
     {"instance.name", &gateway_settings::name, 1, 100, "text", "instance name, unique in the deployment"},
     {"instance.failure_domain", &gateway_settings::failureDomain, 1, 100, "text", "failure domain of this instance"},
     {"instance.front", &gateway_settings::frontAddress, 9, 21, "IP:port", "address for clients"},
@@ -22,6 +22,8 @@
      "repeats allowed per window for all instances together: the part of the budget that does not depend on traffic"},
     {"repeats.window", &gateway_settings::repeatWindowSeconds, 0.1, 600, "s", "window in which repeats are counted"},
     {"repeats.instances", &gateway_settings::expectedInstances, 1, 10000, "instances", "least number of instances that share repeats.extra equally"},
+    {"quarantine.ends", &gateway_settings::quarantineEnds, 0, 100, "processes",
+     "processes of backend servers that end under the same part of a prompt until requests with that part are rejected; 0: they never are"},
     {"log.format", &gateway_settings::logFormat, 4, 4, "word", "text or json"},
     {"log.level", &gateway_settings::logLevel, 4, 7, "word", "debug, info, warning or error"},
     {"log.lines_per_second", &gateway_settings::logLinesPerSecond, 1, 100000, "lines/s",
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -25,6 +25,7 @@
     double repeatExtra = 20;                       // additional repeats per window, for all instances together
     double repeatWindowSeconds = 10;               // window for repeatRatio and repeatExtra
     int expectedInstances = 7;                     // least number of instances that share repeatExtra equally
+    int quarantineEnds = 3;                        // server processes that end under a part of a prompt until it is rejected, 0 = never
     std::string logFormat = "json";                // text or json
     std::string logLevel = "info";                 // debug, info, warning or error
     int logLinesPerSecond = 150;                   // log lines of requests; further ones are only counted
@@ -34,7 +35,7 @@
     milliseconds repeatWindow() const;
 };
 
-extern const setting_row<gateway_settings> GATEWAY_SETTINGS[17];
+extern const setting_row<gateway_settings> GATEWAY_SETTINGS[18];
 
 // Throws settings_error if the platform's URL is missing or a log setting is not an allowed word.
 void checkSettings(const gateway_settings &settings);
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds LIVENESS_INTERVAL{100}; // between two updates that the path's servers are alive
 constexpr milliseconds PATH_POLL_INTERVAL{60}; // between searches for a path for a stream that has begun
 constexpr int MAX_PATHS_TRIED = 6;             // paths tried per request
+constexpr int MAX_SERVERS_ENDED = 2;           // a request under which so many servers ended is not repeated
 constexpr int MAX_CLIENT_PAUSES = 8;           // a client is expected to disconnect after this many times the route's longest acceptable pause
 constexpr std::size_t MAX_ERROR_BODY_BYTES = std::size_t(1) << 20;
 constexpr std::size_t MAX_EVENT_BYTES = std::size_t(1) << 20; // of one event, which is kept until it is complete
@@ -63,6 +64,10 @@
         reason = result == attempt_result::not_run ? "not_run" : "stream_broken";
         endAttempt(m_current);
         m_current = std::exchange(m_second, nullptr);
+        if (!m_current && !co_await awaitServerCheck()) {
+            reason = "servers_ended";
+            break;
+        }
         const bool exhausted = m_pathsTried >= MAX_PATHS_TRIED || (result == attempt_result::broken && !mayResume());
         if (!m_current && exhausted) {
             break;
@@ -91,6 +96,9 @@
         reportNoPath();
         co_return first ? "no_path" : "no_other_path";
     }
+    if (const char *refusal = refuseByParts()) {
+        co_return refusal;
+    }
     if (!first && !m_state.budgetOf(m_facts.service).takeRepeat(std::chrono::steady_clock::now())) {
         co_return "repeat_budget";
     }
@@ -98,6 +106,38 @@
     co_return nullptr;
 }
 
+asio::awaitable<bool> generation_flow::awaitServerCheck()
+{
+    if (!m_serverCheck) {
+        co_return true;
+    }
+    const bool ended = (co_await m_serverCheck->wait()).value_or(false);
+    m_serverCheck.reset();
+    co_return !ended || (m_serversEnded < MAX_SERVERS_ENDED && m_state.parts.mayRepeat(m_facts.parts));
+}
+
+const char *generation_flow::refuseByParts()
+{
+    if (m_outcome.runs > 0) {
+        return m_state.parts.mayRepeat(m_facts.parts) ? nullptr : "part_not_repeated";
+    }
+    const part_admission admission = m_state.parts.admit(m_facts.parts, std::chrono::steady_clock::now());
+    if (admission.status == part_status::clear) {
+        return nullptr;
+    }
+    const char *decision = admission.trial ? "trial" : admission.accepted ? "alone" : "rejected";
+    m_state.counters.count("prompt_part_requests", {{"status", toText(admission.status)}, {"decision", decision}});
+    if (admission.trial) {
+        logLine(log_level::warning, "prompt_part_trial", {{"request", m_facts.id}, {"part", admission.part.text}});
+        m_state.keepPart(m_state.parts.findings().at(admission.part));
+    }
+    if (admission.accepted) {
+        return nullptr;
+    }
+    m_partRetry = admission.retryAfter;
+    return admission.status == part_status::quarantined ? "part_quarantined" : "part_suspected";
+}
+
 asio::awaitable<std::optional<std::vector<path_stage>>> generation_flow::waitForPath()
 {
     const steady_time start = std::chrono::steady_clock::now();
@@ -178,6 +218,8 @@
     ++m_outcome.runs; // taken back if the server refuses
     attempt.lastData = std::chrono::steady_clock::now();
     attempt.sent = attempt.lastData;
+    attempt.process = m_state.processOf(first.server);
+    attempt.exposure = std::make_unique<part_exposure>(m_state.parts, m_facts.parts);
     spawnLogged(m_state.context, "stall_monitor", monitorStalls(shared_from_this(), attempt.shared_from_this()));
     status = co_await exchange.send(bytes, m_facts.deadline);
     co_return status == exchange_status::ok ? opening_state::pending : noteBroken(attempt, exchange, status);
@@ -193,6 +235,7 @@
     attempt.headRead = true;
     attempt.lastData = std::chrono::steady_clock::now();
     attempt.firstData = attempt.lastData;
+    attempt.exposure->noteData(attempt.lastData);
     noteLoad(head, exchange.address());
     noteQuietPeriod(head, exchange.address());
     noteLeaving(head, exchange.address());
@@ -248,6 +291,7 @@
     }
     attempt->ended = true;
     attempt->stallTimer.cancel();
+    attempt->exposure.reset();
     attempt->load.reset();
     attempt->exchange.reset(); // closes the connection, or returns it to the pool if the answer was read completely
 }
@@ -262,6 +306,9 @@
     if (!m_current || m_second || !mayResume() || m_pathsTried >= MAX_PATHS_TRIED || m_facts.deadline - now < MIN_ATTEMPT_TIME) {
         return false;
     }
+    if (!m_state.parts.mayRepeat(m_facts.parts)) {
+        return false;
+    }
     // A server can't tell two attempts with the same request id apart.
     std::vector<std::string> excluded = m_avoided;
     excluded.push_back(m_current->first().address);
@@ -342,6 +389,7 @@
             co_return attempt_result::broken;
         }
         attempt.lastData = std::chrono::steady_clock::now();
+        attempt.exposure->noteData(attempt.lastData);
         dropSecond();
     }
     if (attempt.splitter.pendingBytes() > 0) {
@@ -349,6 +397,9 @@
         co_return attempt_result::broken; // the answer ended in the middle of an event
     }
     m_state.health.noteSuccess(exchange->address());
+    if (attempt.splitter.events() > 0) {
+        attempt.exposure->prove(std::chrono::steady_clock::now());
+    }
     if (!m_streamBegan) {
         m_streamBegan = true;
         if (!co_await m_sink.beginStream(exchange->head().status, m_headers)) {
@@ -425,12 +476,34 @@
     m_outcome.silence = attempt.silence(std::chrono::steady_clock::now());
     m_outcome.lastEnd = overdue() ? attempt_end::deadline : attempt_end::server_broke;
     logBroken(attempt, status);
+    if (status == exchange_status::broken && attempt.exposure && attempt.exposure->open()) {
+        checkServer(attempt);
+    }
     if (!overdue()) {
         avoid(exchange.address(), status == exchange_status::timed_out ? failure_kind::silent : failure_kind::broken);
     }
     return opening_state::broken;
 }
 
+void generation_flow::checkServer(const stream_attempt &attempt)
+{
+    m_serverCheck = m_state.endChecks.start(attempt.process, attempt.first().address, m_state.control.fetchReport);
+    spawnLogged(m_state.context, "server_check", noteServerEnd(shared_from_this(), attempt.process, m_serverCheck));
+}
+
+asio::awaitable<void> generation_flow::noteServerEnd(std::shared_ptr<generation_flow>, server_process process, std::shared_ptr<one_shot<bool>> check)
+{
+    const steady_time broken = std::chrono::steady_clock::now();
+    const std::optional<bool> ended = co_await check->wait();
+    m_state.counters.count("server_end_checks", {{"result", !ended ? "none" : *ended ? "ended" : "alive"}});
+    if (!ended.value_or(false) || isOwnDelay(broken + server_end_check::TIMEOUT)) {
+        co_return;
+    }
+    ++m_serversEnded;
+    m_state.parts.noteEnd({process, broken, m_facts.parts});
+    m_state.reportParts();
+}
+
 void generation_flow::logBroken(const stream_attempt &attempt, exchange_status status)
 {
     m_state.counters.count("attempts_broken", {{"began", attempt.headRead ? "yes" : "no"}, {"status", toText(status)}});
@@ -460,7 +533,8 @@
         co_return;
     }
     if (m_outcome.runs == 0) {
-        co_await respondWithError(503, reason, retryAfter(m_outcome.refused > 0 ? BUSY_RETRY : NO_PATH_RETRY));
+        const milliseconds usual = m_outcome.refused > 0 ? BUSY_RETRY : NO_PATH_RETRY;
+        co_await respondWithError(503, reason, m_partRetry.count() > 0 ? m_partRetry : retryAfter(usual));
         co_return;
     }
     co_await respondWithError(overdue() ? 504 : 502, reason);
--- a/src/gateway/generation_stalls.cpp
+++ b/src/gateway/generation_stalls.cpp
@@ -1,7 +1,6 @@
 // The part of generation_flow that handles attempts without data: inquiries, replaced stages, requests that wait in a queue.
 
 #include "gateway/generation_flow.h"
-#include "gateway/one_shot.h"
 
 #include <algorithm>
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -86,6 +86,10 @@
     mesh_handler meshHandler();
     void joinMesh();
     void reportLoad();
+    // Takes over evidence about parts of prompts from a peer or the platform. Control thread only.
+    void importEvidence(const evidence_update &update);
+    // Passes new evidence about parts of prompts to the mesh.
+    void passEvidence(steady_time now);
     // Measures how late the traffic thread runs a timer and the control thread runs a task.
     void measureDelays(steady_time now);
     void answerMetrics(http_call &call);
@@ -102,6 +106,8 @@
     control_plane m_plane;
     std::unique_ptr<mesh_node> m_mesh;
     std::vector<server_load> m_ownLoads; // control thread only
+    crash_evidence m_evidence;           // copy that is exchanged with peers; control thread only
+    std::uint64_t m_evidencePassed = 0;  // revision of the traffic thread's copy up to which that one has it
     milliseconds m_timeUntilStop{0};     // time until this process ends, 0 = not stopping; control thread only
     http_server m_metrics;
     asio::signal_set m_signals;
@@ -144,6 +150,8 @@
             });
         });
     };
+    calls.keepQuarantine
+        = [this](const part_id &part, const evidence_update &evidence) { m_control.post([this, part, evidence] { m_port->keepQuarantine(part, evidence); }); };
     calls.refresh = [this](std::function<void(bool)> done) {
         m_control.post([this, done = std::move(done)] { m_port->refresh([this, done](bool ok) { asio::post(m_context, [done, ok] { done(ok); }); }); });
     };
@@ -175,6 +183,8 @@
         = [this](peer_report report) { asio::post(m_context, [this, report = std::move(report)]() mutable { m_state.applyPeerReport(std::move(report)); }); };
     handler.position = [this] { return m_port->position(); };
     handler.exportUpdates = [this](const update_position &since) { return m_port->exportUpdates(since); };
+    handler.exportEvidence = [this](std::uint64_t revision) { return m_evidence.since(revision); };
+    handler.importEvidence = [this](const evidence_update &update) { importEvidence(update); };
     handler.importUpdates = [this](const std::string &updates) { m_port->importUpdates(updates); };
     return handler;
 }
@@ -190,6 +200,7 @@
                 m_state.knownInstances = static_cast<int>(m_members.size());
             });
         });
+        m_port->readQuarantine([this](const evidence_update &kept) { importEvidence(kept); });
         m_mesh->start();
     });
 }
@@ -232,6 +243,7 @@
         m_ownLoads = std::move(loads);
         m_plane.setFaultyServers(std::move(faulty));
     });
+    passEvidence(now);
     m_loadTimer.expires_after(LOAD_REPORT_INTERVAL);
     m_loadTimer.async_wait([this](boost::system::error_code error) {
         if (!error) {
@@ -240,6 +252,28 @@
     });
 }
 
+void gateway_process::importEvidence(const evidence_update &update)
+{
+    if (m_evidence.merge(update)) {
+        asio::post(m_context, [this, update] {
+            m_state.parts.merge(update);
+            m_state.reportParts();
+        });
+    }
+}
+
+void gateway_process::passEvidence(steady_time now)
+{
+    m_state.parts.dropExpired(now);
+    m_state.reportParts();
+    evidence_update update = m_state.parts.evidence().since(m_evidencePassed);
+    m_evidencePassed = update.revision;
+    m_control.post([this, now, update = std::move(update)] {
+        m_evidence.dropExpired(now);
+        m_evidence.merge(update);
+    });
+}
+
 void gateway_process::answerMetrics(http_call &call)
 {
     http_response response;
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -126,6 +126,11 @@
     // Appends an entry if the lease log still ends at `end`.
     virtual void appendLease(std::uint64_t end, const lease_entry &entry, std::function<void(lease_append_answer)> done) = 0;
 
+    // Keeps the evidence against a quarantined part of prompts beyond the life of all instances; empty evidence removes it.
+    virtual void keepQuarantine(const part_id &part, const evidence_update &evidence) = 0;
+    // Reads the kept evidence, as soon as the platform answers.
+    virtual void readQuarantine(std::function<void(const evidence_update &)> done) = 0;
+
     // Reads a server's state.
     virtual void fetchReport(const std::string &address, const server_id &server, std::function<void(server_report)> done) = 0;
     // Orders a server to hold a layer range; the server refuses unless it has begun exactly `sequence` orders.
--- a/src/gateway/stream_attempt.h
+++ b/src/gateway/stream_attempt.h
@@ -3,6 +3,7 @@
 // State of one attempt to run a generation on a path of servers. Used on the traffic thread only.
 
 #include "core/event_splitter.h"
+#include "gateway/part_exposure.h"
 #include "gateway/traffic_state.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -60,14 +61,16 @@
     asio::steady_timer stallTimer; // cancelled when the attempt ends
     std::string firstPiece;        // of the body, read while opening
     event_splitter splitter;
-    steady_time sent{};           // when the request was sent, 0 = it was not
-    steady_time firstData{};      // first data of the answer, 0 = none
-    steady_time lastData;         // last data of the server, or the start
-    steady_time lastInquiry{};    // end of the last inquiry
-    int emptyInquiries = 0;       // consecutive inquiries without result since the last data
-    bool headRead = false;        // the server has begun to answer
-    bool blockedByClient = false; // an event is being written: no data is read meanwhile
-    bool replaced = false;        // another attempt has answered first
+    server_process process;                  // of the first server
+    std::unique_ptr<part_exposure> exposure; // null until the request is sent
+    steady_time sent{};                      // when the request was sent, 0 = it was not
+    steady_time firstData{};                 // first data of the answer, 0 = none
+    steady_time lastData;                    // last data of the server, or the start
+    steady_time lastInquiry{};               // end of the last inquiry
+    int emptyInquiries = 0;                  // consecutive inquiries without result since the last data
+    bool headRead = false;                   // the server has begun to answer
+    bool blockedByClient = false;            // an event is being written: no data is read meanwhile
+    bool replaced = false;                   // another attempt has answered first
     bool ended = false;
 };
 
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -5,6 +5,7 @@
 
 #include "core/gateway_types.h"
 #include "core/layer_path.h"
+#include "core/part_quarantine.h"
 #include "core/repeat_budget.h"
 #include "core/server_health.h"
 #include "core/shared_load.h"
@@ -12,6 +13,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/pause_recovery.h"
 #include "gateway/platform_port.h"
+#include "gateway/server_end_check.h"
 #include "gateway/upstream.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -29,6 +31,7 @@
                        std::function<void(order_outcome, std::string)> done)>
         orderRepath;
     state_refresh refresh;
+    std::function<void(const part_id &part, const evidence_update &evidence)> keepQuarantine;
 };
 
 // Limits the log lines that requests write per second; counts the dropped ones.
@@ -66,7 +69,9 @@
     steady_time configSince{};                    // when `config` was put in force
     std::shared_ptr<const fleet_snapshot> fleet;  // null until received
     server_health health;
-    shared_load peers;                    // load reports of the other instances
+    shared_load peers;     // load reports of the other instances
+    part_quarantine parts; // parts of prompts that end servers
+    server_end_check endChecks;
     int knownInstances = 1;               // including this one; the extra repeats are divided by it
     stream_duration_estimator streamTime; // estimated from the streams of this instance
     upstream_pool pool;
@@ -97,6 +102,12 @@
     std::vector<server_load> ownLoads(steady_time now) const;
     // Stores a peer's load report. Servers that a credible peer avoids are avoided here too.
     void applyPeerReport(peer_report report);
+    // The process of a server that runs now, as far as known.
+    server_process processOf(const server_id &server) const;
+    // Logs, counts and keeps the parts whose status has changed.
+    void reportParts();
+    // Keeps the evidence against a part that this instance has witnessed.
+    void keepPart(const part_finding &finding);
     // This instance's part of the repeat budget of a service.
     repeat_budget &budgetOf(const service_id &service);
     // Uniformly distributed random number in [0, 1).
@@ -126,6 +137,7 @@
     std::vector<stage_candidate> candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now);
 
     std::map<service_id, repeat_budget> m_budgets;
+    std::set<part_id> m_keptParts; // whose evidence this instance has written to the platform
 };
 
 // Counts bytes of one answer in traffic_state::bufferedAnswerBytes until it is destroyed.
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -121,6 +121,11 @@
     {
         return m_head;
     }
+    // True if the answer has neither a length nor chunks: only the end of the connection ends it.
+    bool endsWithConnection() const
+    {
+        return m_parser && m_parser->need_eof();
+    }
     const std::string &address() const
     {
         return m_address;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -5,6 +5,7 @@
 #include "core/mesh_roles.h"
 #include "gateway_peer.grpc.pb.h"
 #include "kernel/log.h"
+#include "mesh/evidence_message.h"
 
 #include <atomic>
 #include <cmath>
@@ -110,6 +111,14 @@
     wire::gateway_state reply;
 };
 
+// What this instance and a peer have of each other's evidence.
+struct evidence_position
+{
+    std::uint64_t incarnation = 0; // process of the peer that the next value refers to
+    std::uint64_t merged = 0;      // revision of the peer up to which this instance has its evidence
+    std::uint64_t known = 0;       // revision of this instance up to which the peer has its evidence
+};
+
 // State of one peer.
 struct peer_entry
 {
@@ -123,6 +132,7 @@
     steady_time failedSince{};  // first of the consecutive failures
     steady_time downUntil{};    // counts as down until then
     update_position position;   // in the last state received from it
+    evidence_position evidence;
 };
 
 }
@@ -151,6 +161,8 @@
 
 private:
     void round();
+    void fillEvidence(wire::crash_evidence *message, const std::string &receiver);
+    void takeEvidence(const wire::crash_evidence &message, std::uint64_t incarnation, evidence_position &position);
     void fill(wire::gateway_state *message, const update_position &since, load_scope scope, const std::string &receiver);
     mesh_links links(steady_time now) const;
     void connect(peer_entry &peer) const;
@@ -245,12 +257,36 @@
     message->set_lease_end(known.lease.end.offset);
     message->set_lease_holder(known.lease.newest.holder);
     message->set_lease_holder_epoch(known.lease.newest.epoch.number);
+    fillEvidence(message->mutable_evidence(), receiver);
     const bool config = since.wantsConfig && position.configVersion > since.configVersion;
     if (config || position.fleet > since.fleet || position.members > since.members) {
         message->set_news(m_handler.exportUpdates(since));
     }
 }
 
+// Sends what the receiver lacks according to its last state.
+void mesh_node::implementation::fillEvidence(wire::crash_evidence *message, const std::string &receiver)
+{
+    const auto peer = m_peers.find(receiver);
+    const evidence_position position = peer == m_peers.end() ? evidence_position() : peer->second.evidence;
+    toMessage(m_handler.exportEvidence(position.known), message, std::chrono::steady_clock::now());
+    message->set_seen_incarnation(position.incarnation);
+    message->set_seen_revision(position.merged);
+}
+
+void mesh_node::implementation::takeEvidence(const wire::crash_evidence &message, std::uint64_t incarnation, evidence_position &position)
+{
+    if (position.incarnation != incarnation) {
+        position = {incarnation, 0, 0};
+    }
+    position.merged = std::max(position.merged, message.revision());
+    position.known = message.seen_incarnation() == m_settings.incarnation ? message.seen_revision() : 0;
+    const evidence_update update = toEvidence(message, std::chrono::steady_clock::now());
+    if (!update.empty()) {
+        m_handler.importEvidence(update);
+    }
+}
+
 void mesh_node::implementation::take(const wire::gateway_state &message)
 {
     addPeer({message.instance(), message.failure_domain(), message.address()});
@@ -268,6 +304,7 @@
     if (!message.news().empty()) {
         m_handler.importUpdates(message.news());
     }
+    takeEvidence(message.evidence(), message.incarnation(), peer->second.evidence);
     const lease_state lease{{{message.lease_epoch()}, message.lease_end()}, {message.lease_holder(), {message.lease_holder_epoch()}}};
     const peer_confirmations known{toConfirmation(message.config_confirmation()), toConfirmation(message.fleet_confirmation()),
                                    toConfirmation(message.coordinator_confirmation()), lease};
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -5,6 +5,7 @@
 
 #include "core/confirmation_clock.h"
 #include "core/coordinator_lease.h"
+#include "core/crash_evidence.h"
 #include "core/log_position.h"
 #include "core/shared_load.h"
 #include "kernel/event_loop.h"
@@ -56,6 +57,8 @@
     std::function<void(const peer_confirmations &, const update_position &)> onConfirmations; // as known to a peer, after the import of its updates
     std::function<std::string(const update_position &since)> exportUpdates;                   // updates that a peer at that position lacks
     std::function<void(const std::string &updates)> importUpdates;
+    std::function<evidence_update(std::uint64_t revision)> exportEvidence; // evidence of this instance that is newer than a revision
+    std::function<void(const evidence_update &)> importEvidence;
 };
 
 struct mesh_settings
--- a/tests/gateway_crashing_part_test.cpp
+++ b/tests/gateway_crashing_part_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <mutex>
 
 using namespace chestnut;
@@ -227,3 +228,23 @@
     CHECK(arrivalsAfter(fleet.arrivals(), started) <= MOST_LATER_ARRIVALS);
     CHECK(after.soundShare(started) >= 0.5);
 }
+
+TEST_CASE("instances that all restarted at once do not send requests with a part that ended servers", "[failure]")
+{
+    deployment site;
+    crashing_fleet fleet(site);
+    site.start();
+    request_series before(site, fleet);
+    before.send(40);
+    REQUIRE(before.lastCrashingStatus() == 503);
+    site.gateways[0]->signal(SIGKILL);
+    site.gateways.clear();
+    site.startGateway("g2");
+    REQUIRE(eventually([&] { return site.readyStatus() == 200; }));
+    raw_client(site.front()).readUntil("\x01never", static_cast<int>(CONTACT_TIME.count()));
+    const steady_time started = std::chrono::steady_clock::now();
+    request_series after(site, fleet);
+    after.send(40);
+    CHECK(arrivalsAfter(fleet.arrivals(), started) <= MOST_LATER_ARRIVALS);
+    CHECK(after.soundShare(started) >= 0.5);
+}
