A stream that ends with its connection before its first event is resumed, not taken for complete

What callers saw: an answer without length or chunks whose server broke off right after the head reached the caller as a complete stream without events, and was not resumed. Cause: the end of the connection ends such an answer, so an empty one looked whole; the server was noted as healthy. Evidence: the new test gets "0\r\n\r\n" and no event without the condition. Now such an end counts as broken off: a stream without any event carries no answer, and its request may be resumed at another server. With the condition the test passes (whole stream, one request at each server).

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -396,6 +396,10 @@
         noteBroken(attempt, *exchange, exchange_status::broken);
         co_return attempt_result::broken; // the answer ended in the middle of an event
     }
+    if (attempt.splitter.events() == 0 && exchange->head().endsWithConnection) {
+        noteBroken(attempt, *exchange, exchange_status::broken);
+        co_return attempt_result::broken; // nothing but the end of the connection: the server broke off
+    }
     m_state.health.noteSuccess(exchange->address());
     if (attempt.splitter.events() > 0) {
         attempt.exposure->prove(std::chrono::steady_clock::now());
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -250,7 +250,8 @@
     const auto &message = m_parser->get();
     m_head = {};
     m_head.status = static_cast<int>(message.result_int());
-    m_head.keepAlive = m_parser->keep_alive() && !m_parser->need_eof();
+    m_head.endsWithConnection = m_parser->need_eof();
+    m_head.keepAlive = m_parser->keep_alive() && !m_head.endsWithConnection;
     const std::string_view connection = viewOf(message[http::field::connection]);
     for (const auto &field : message) {
         const std::string name(field.name_string());
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -95,6 +95,7 @@
     int status = 0;
     header_list headers; // as received, without hop-by-hop headers
     bool keepAlive = false;
+    bool endsWithConnection = false; // the answer has neither a length nor chunks
 };
 
 // One request and its answer. The steps (connect, send, read) are awaited one after the other; abort() may be called at any time.
@@ -121,11 +122,6 @@
     {
         return m_head;
     }
-    // True if the answer has neither a length nor chunks: only the end of the connection ends it.
-    bool endsWithConnection() const
-    {
-        return m_parser && m_parser->need_eof();
-    }
     const std::string &address() const
     {
         return m_address;
--- a/tests/gateway_crashing_part_test.cpp
+++ b/tests/gateway_crashing_part_test.cpp
@@ -248,3 +248,27 @@
     CHECK(arrivalsAfter(fleet.arrivals(), started) <= MOST_LATER_ARRIVALS);
     CHECK(after.soundShare(started) >= 0.5);
 }
+
+TEST_CASE("a stream that ends with its connection before the first event is resumed at another server", "[failure]")
+{
+    std::atomic<int> streams = 0;
+    const server_script breakFirst = [&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report" || ++streams > 1) {
+            return streaming(LAST_EVENT)(out, in);
+        }
+        out.write("HTTP/1.1 200 OK\r\n" + SIGNATURE + "X-Chestnutgw-Request-Id: " + in.header("X-Chestnutgw-Request-Id")
+                  + "\r\nContent-Type: text/event-stream\r\n\r\n");
+        return false;
+    };
+    scripted_server first(breakFirst);
+    scripted_server second(breakFirst);
+    deployment site;
+    site.addServer("i-1", "lm", first.address(), 0, 4);
+    site.addServer("i-2", "lm", second.address(), 0, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "id1"));
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
+    CHECK(first.count() == 1);
+    CHECK(second.count() == 1);
+}
