Operators list quarantined parts of prompts and release them: chestnutctl quarantine

A quarantine decides over callers, so an operator must see why and be able to overrule it. At a gateway's metrics address GET /quarantine gives each suspected or quarantined part with the servers that ended under it, its trials and ages; POST /quarantine/release takes back what speaks against a part, at all instances, since a release is merged like any evidence. chestnutctl quarantine list and release PART call these. Test: a part listed at both of two instances is released through one and gone at both. The requests of operators move from the gateway's main to gateway/operator_api.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -424,6 +424,32 @@
     return answer["http_status"] == 200 ? 0 : printFailure(answer);
 }
 
+// The quarantine is asked for at the metrics address of a gateway, which --entry names here.
+int listQuarantine(const ctl_options &options)
+{
+    const json answer = requestJson(options, "GET", "/quarantine");
+    if (answer["http_status"] != 200) {
+        return printFailure(answer);
+    }
+    if (options.printJson) {
+        printLine(answer.dump(2));
+        return 0;
+    }
+    std::vector<std::vector<std::string>> table{{"part", "status", "servers ended", "last s ago", "trials"}};
+    for (const json &part : answer.at("parts")) {
+        table.push_back({part.at("part").get<std::string>(), part.at("status").get<std::string>(), std::to_string(part.at("servers_ended").get<int>()),
+                         std::to_string(part.at("last_end_ms").get<std::int64_t>() / 1000), std::to_string(part.at("trials").get<int>())});
+    }
+    printTable(table);
+    return 0;
+}
+
+int releaseFromQuarantine(const ctl_options &options)
+{
+    const json answer = requestJson(options, "POST", "/quarantine/release?part=" + percentEncode(options.words.at(2)));
+    return answer["http_status"] == 200 ? 0 : printFailure(answer);
+}
+
 //-----------------------------------------------------------------------------
 // Main
 //-----------------------------------------------------------------------------
@@ -450,6 +476,12 @@
         {{"explain", "placement"}, 1, "explain placement MODEL", "show the placement decisions on a model", explainPlacement},
         {{"drain"}, 1, "drain SERVER [--wait]", "send no new requests to a backend server", drainServer},
         {{"undrain"}, 1, "undrain SERVER [--wait]", "send new requests to a drained backend server again", undrainServer},
+        {{"quarantine", "list"}, 0, "quarantine list", "show the parts of prompts that end servers; --entry: metrics address of a gateway", listQuarantine},
+        {{"quarantine", "release"},
+         1,
+         "quarantine release PART",
+         "let requests with a part through again; --entry: metrics address of a gateway",
+         releaseFromQuarantine},
         {{"log-level"}, 1, "log-level LEVEL", "set the log level of an instance: debug, info, warning or error", setLogLevelCommand},
     };
     return TABLE;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -4,8 +4,8 @@
 #include "core/store_pace.h"
 #include "gateway/control_plane.h"
 #include "gateway/front_server.h"
+#include "gateway/operator_api.h"
 #include "kernel/clock.h"
-#include "kernel/http_server.h"
 #include "kernel/registry.h"
 
 #include <boost/asio/post.hpp>
@@ -52,7 +52,7 @@
         , m_mesh(std::make_unique<mesh_node>(
               m_control, m_counters, mesh_settings{settings.name, settings.failureDomain, settings.peerAddress, static_cast<std::uint64_t>(wallClockMs())},
               meshHandler()))
-        , m_metrics(metricsOptions(settings.metricsAddress), [this](const std::shared_ptr<http_call> &call) { answerMetrics(*call); })
+        , m_operators(metricsOptions(settings.metricsAddress), [this](const std::shared_ptr<http_call> &call) { answerOperator(call, m_state); })
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_drainTimer(m_context)
         , m_dropTimer(m_context)
@@ -68,7 +68,7 @@
                 {{"front", m_front.frontAddress()},
                  {"ready", m_front.readyAddress()},
                  {"peer", m_mesh->address()},
-                 {"metrics_port", std::to_string(m_metrics.port())}});
+                 {"metrics_port", std::to_string(m_operators.port())}});
         m_front.start();
         m_plane.start();
         joinMesh();
@@ -92,7 +92,6 @@
     void passEvidence(steady_time now);
     // Measures how late the traffic thread runs a timer and the control thread runs a task.
     void measureDelays(steady_time now);
-    void answerMetrics(http_call &call);
     void awaitSignal();
     void drainStep();
     void reportDropped();
@@ -109,7 +108,7 @@
     crash_evidence m_evidence;           // copy that is exchanged with peers; control thread only
     std::uint64_t m_evidencePassed = 0;  // revision of the traffic thread's copy up to which that one has it
     milliseconds m_timeUntilStop{0};     // time until this process ends, 0 = not stopping; control thread only
-    http_server m_metrics;
+    http_server m_operators;
     asio::signal_set m_signals;
     asio::steady_timer m_drainTimer;
     asio::steady_timer m_dropTimer;
@@ -274,14 +273,6 @@
     });
 }
 
-void gateway_process::answerMetrics(http_call &call)
-{
-    http_response response;
-    response.contentType = "text/plain; version=0.0.4";
-    response.body = m_counters.expose();
-    call.respond(std::move(response));
-}
-
 void gateway_process::awaitSignal()
 {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
--- a/tests/gateway_crashing_part_test.cpp
+++ b/tests/gateway_crashing_part_test.cpp
@@ -249,6 +249,32 @@
     CHECK(after.soundShare(started) >= 0.5);
 }
 
+TEST_CASE("an operator sees a quarantined part and releases it at all instances", "[failure]")
+{
+    const std::string part = "lm/" + CRASHING_PART.substr(0, CRASHING_PART.find(':'));
+    deployment site;
+    crashing_fleet fleet(site);
+    site.start();
+    site.startGateway("g2");
+    REQUIRE(eventually([&] { return site.readyStatus(1) == 200; }));
+    const auto control = [&](std::size_t gateway, const std::string &command) {
+        const std::string address = "127.0.0.1:" + site.gateways[gateway]->listening().at("metrics_port").get<std::string>();
+        std::vector<std::string> words{"--entry", address, "quarantine", command};
+        if (command == "release") {
+            words.push_back(part);
+        }
+        return runProgramOnce("chestnutctl", words);
+    };
+    request_series series(site, fleet);
+    series.send(40);
+    const auto listed = [&](std::size_t gateway) { return control(gateway, "list").output.find(part) != std::string::npos; };
+    CHECK(eventually([&] { return listed(0) && listed(1); }));
+    CHECK(site.metricsText().find("prompt_parts{status=\"quarantined\"} 1") != std::string::npos);
+    CHECK(control(0, "release").status == 0);
+    CHECK(eventually([&] { return !listed(0) && !listed(1); }));
+    CHECK(control(0, "release").status == 1);
+}
+
 TEST_CASE("a stream that ends with its connection before the first event is resumed at another server", "[failure]")
 {
     std::atomic<int> streams = 0;
