--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -1,6 +1,5 @@
 #include "gateway/generation_flow.h"
 
-#include "core/prompt_parts.h"
 #include "gateway/spawn.h"
 #include "kernel/scope.h"
 
@@ -11,7 +10,8 @@
 #include <algorithm>
 #include <utility>
 
-// Sections: attempts, second attempt beside a silent one, forwarding, helpers. Stalls are handled in generation_stalls.cpp.
+// Sections: attempts, second attempt beside a silent one, forwarding, helpers. Stalls are handled in generation_stalls.cpp, servers that
+// end under a request in generation_parts.cpp.
 
 namespace chestnut
 {
@@ -26,7 +26,6 @@
 constexpr milliseconds LIVENESS_INTERVAL{100}; // between two updates that the path's servers are alive
 constexpr milliseconds PATH_POLL_INTERVAL{60}; // between searches for a path for a stream that has begun
 constexpr int MAX_PATHS_TRIED = 6;             // paths tried per request
-constexpr int MAX_SERVERS_ENDED = 2;           // a request under which so many servers ended is not repeated
 constexpr int MAX_CLIENT_PAUSES = 8;           // a client is expected to disconnect after this many times the route's longest acceptable pause
 constexpr std::size_t MAX_ERROR_BODY_BYTES = std::size_t(1) << 20;
 constexpr std::size_t MAX_EVENT_BYTES = std::size_t(1) << 20; // of one event, which is kept until it is complete
@@ -106,38 +105,6 @@
     co_return nullptr;
 }
 
-asio::awaitable<bool> generation_flow::awaitServerCheck()
-{
-    if (!m_serverCheck) {
-        co_return true;
-    }
-    const bool ended = (co_await m_serverCheck->wait()).value_or(false);
-    m_serverCheck.reset();
-    co_return !ended || (m_serversEnded < MAX_SERVERS_ENDED && m_state.parts.mayRepeat(m_facts.parts));
-}
-
-const char *generation_flow::refuseByParts()
-{
-    if (m_outcome.runs > 0) {
-        return m_state.parts.mayRepeat(m_facts.parts) ? nullptr : "part_not_repeated";
-    }
-    const part_admission admission = m_state.parts.admit(m_facts.parts, std::chrono::steady_clock::now());
-    if (admission.status == part_status::clear) {
-        return nullptr;
-    }
-    const char *decision = admission.trial ? "trial" : admission.accepted ? "alone" : "rejected";
-    m_state.counters.count("prompt_part_requests", {{"status", toText(admission.status)}, {"decision", decision}});
-    if (admission.trial) {
-        logLine(log_level::warning, "prompt_part_trial", {{"request", m_facts.id}, {"part", admission.part.text}});
-        m_state.keepPart(m_state.parts.findings().at(admission.part));
-    }
-    if (admission.accepted) {
-        return nullptr;
-    }
-    m_partRetry = admission.retryAfter;
-    return admission.status == part_status::quarantined ? "part_quarantined" : "part_suspected";
-}
-
 asio::awaitable<std::optional<std::vector<path_stage>>> generation_flow::waitForPath()
 {
     const steady_time start = std::chrono::steady_clock::now();
@@ -489,45 +456,6 @@
     return opening_state::broken;
 }
 
-void generation_flow::checkServer(const stream_attempt &attempt)
-{
-    m_serverCheck = m_state.endChecks.start(attempt.process, attempt.first().address, m_state.control.fetchReport);
-    spawnLogged(m_state.context, "server_check", noteServerEnd(shared_from_this(), attempt.process, m_serverCheck));
-}
-
-asio::awaitable<void> generation_flow::noteServerEnd(std::shared_ptr<generation_flow>, server_process process, std::shared_ptr<one_shot<bool>> check)
-{
-    const steady_time broken = std::chrono::steady_clock::now();
-    const std::optional<bool> ended = co_await check->wait();
-    m_state.counters.count("server_end_checks", {{"result", !ended ? "none" : *ended ? "ended" : "alive"}});
-    if (!ended.value_or(false) || isOwnDelay(broken + server_end_check::TIMEOUT)) {
-        co_return;
-    }
-    ++m_serversEnded;
-    m_state.parts.noteEnd({process, broken, m_facts.parts});
-    m_state.reportParts();
-}
-
-void generation_flow::logBroken(const stream_attempt &attempt, exchange_status status)
-{
-    m_state.counters.count("attempts_broken", {{"began", attempt.headRead ? "yes" : "no"}, {"status", toText(status)}});
-    const steady_time now = std::chrono::steady_clock::now();
-    if (!m_state.logLimiter.take(now)) {
-        return;
-    }
-    const auto age
-        = [now](steady_time since) { return since == steady_time() ? "" : std::to_string(std::chrono::duration_cast<milliseconds>(now - since).count()); };
-    logLine(log_level::info, "attempt_broken",
-            {{"request", m_facts.id},
-             {"server", attempt.first().server.text},
-             {"address", attempt.first().address},
-             {"status", toText(status)},
-             {"sent_ms", age(attempt.sent)},
-             {"began_ms", age(attempt.firstData)},
-             {"events", std::to_string(attempt.splitter.events())},
-             {"parts", joinParts(m_facts.parts)}});
-}
-
 asio::awaitable<void> generation_flow::finishFailed(const char *reason)
 {
     if (m_streamBegan) {
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -30,11 +30,6 @@
     };
 
     //-- Attempts --
-    // After an attempt that its server may have ended because of its prompt: waits until it is known whether the server's process ended.
-    // Returns false if the request must not be sent to a further server.
-    asio::awaitable<bool> awaitServerCheck();
-    // Returns null if the parts of the prompt allow an attempt now, else the reason why not.
-    const char *refuseByParts();
     // Starts the next attempt after the last one has failed, or the first one. Returns null if it was started, else the reason why not.
     asio::awaitable<const char *> startNext();
     // A request whose stream has not begun gets nothing at once if no path has enough KV capacity. A stream that has begun takes any
@@ -66,14 +61,21 @@
     asio::awaitable<bool> forwardEvents(stream_attempt &attempt, const std::string &events);
     // Notes that the server has ended the exchange, unless the gateway has. Returns `broken`.
     opening_state noteBroken(const stream_attempt &attempt, const upstream_exchange &exchange, exchange_status status);
+    // Ends the request after its last attempt: closes a stream that has begun, else sends an error answer.
+    asio::awaitable<void> finishFailed(const char *reason);
+
+    //-- Prompts that end servers --
+    // After an attempt that its server may have ended because of its prompt: waits until it is known whether the server's process ended.
+    // Returns false if the request must not be sent to a further server.
+    asio::awaitable<bool> awaitServerCheck();
+    // Returns null if the parts of the prompt allow an attempt now, else the reason why not.
+    const char *refuseByParts();
     // Begins to find out whether the server's process ended, unless it had lived on with the request before.
     void checkServer(const stream_attempt &attempt);
     // Notes the end of the server's process once the check has found it. `self` keeps the flow alive meanwhile.
     asio::awaitable<void> noteServerEnd(std::shared_ptr<generation_flow> self, server_process process, std::shared_ptr<one_shot<bool>> check);
     // Logs what ran at the server, so that the requests of several servers that ended can be compared.
     void logBroken(const stream_attempt &attempt, exchange_status status);
-    // Ends the request after its last attempt: closes a stream that has begun, else sends an error answer.
-    asio::awaitable<void> finishFailed(const char *reason);
 
     //-- Stalls --
     // While the attempt receives no data, asks its first server what it waits for, then replaces the stalled stage or starts a second
--- /dev/null
+++ b/src/gateway/generation_parts.cpp
@@ -0,0 +1,88 @@
+// The part of generation_flow that handles prompts whose parts end servers: evidence, and what a request may do with it.
+
+#include "core/prompt_parts.h"
+#include "gateway/generation_flow.h"
+#include "gateway/spawn.h"
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr int MAX_SERVERS_ENDED = 2; // a request under which so many servers ended is not repeated
+
+}
+
+asio::awaitable<bool> generation_flow::awaitServerCheck()
+{
+    if (!m_serverCheck) {
+        co_return true;
+    }
+    const bool ended = (co_await m_serverCheck->wait()).value_or(false);
+    m_serverCheck.reset();
+    co_return !ended || (m_serversEnded < MAX_SERVERS_ENDED && m_state.parts.mayRepeat(m_facts.parts));
+}
+
+const char *generation_flow::refuseByParts()
+{
+    if (m_outcome.runs > 0) {
+        return m_state.parts.mayRepeat(m_facts.parts) ? nullptr : "part_not_repeated";
+    }
+    const part_admission admission = m_state.parts.admit(m_facts.parts, std::chrono::steady_clock::now());
+    if (admission.status == part_status::clear) {
+        return nullptr;
+    }
+    const char *decision = admission.trial ? "trial" : admission.accepted ? "alone" : "rejected";
+    m_state.counters.count("prompt_part_requests", {{"status", toText(admission.status)}, {"decision", decision}});
+    if (admission.trial) {
+        logLine(log_level::warning, "prompt_part_trial", {{"request", m_facts.id}, {"part", admission.part.text}});
+        m_state.partReports.keep(m_state.parts.findings().at(admission.part));
+    }
+    if (admission.accepted) {
+        return nullptr;
+    }
+    m_partRetry = admission.retryAfter;
+    return admission.status == part_status::quarantined ? "part_quarantined" : "part_suspected";
+}
+
+void generation_flow::checkServer(const stream_attempt &attempt)
+{
+    m_serverCheck = m_state.endChecks.start(attempt.process, attempt.first().address, m_state.control.fetchReport);
+    spawnLogged(m_state.context, "server_check", noteServerEnd(shared_from_this(), attempt.process, m_serverCheck));
+}
+
+asio::awaitable<void> generation_flow::noteServerEnd(std::shared_ptr<generation_flow>, server_process process, std::shared_ptr<one_shot<bool>> check)
+{
+    const steady_time broken = std::chrono::steady_clock::now();
+    const std::optional<bool> ended = co_await check->wait();
+    m_state.counters.count("server_end_checks", {{"result", !ended ? "none" : *ended ? "ended" : "alive"}});
+    if (!ended.value_or(false) || isOwnDelay(broken + server_end_check::TIMEOUT)) {
+        co_return;
+    }
+    ++m_serversEnded;
+    m_state.parts.noteEnd({process, broken, m_facts.parts});
+    m_state.partReports.report();
+}
+
+void generation_flow::logBroken(const stream_attempt &attempt, exchange_status status)
+{
+    m_state.counters.count("attempts_broken", {{"began", attempt.headRead ? "yes" : "no"}, {"status", toText(status)}});
+    const steady_time now = std::chrono::steady_clock::now();
+    if (!m_state.logLimiter.take(now)) {
+        return;
+    }
+    const auto age
+        = [now](steady_time since) { return since == steady_time() ? "" : std::to_string(std::chrono::duration_cast<milliseconds>(now - since).count()); };
+    logLine(log_level::info, "attempt_broken",
+            {{"request", m_facts.id},
+             {"server", attempt.first().server.text},
+             {"address", attempt.first().address},
+             {"status", toText(status)},
+             {"sent_ms", age(attempt.sent)},
+             {"began_ms", age(attempt.firstData)},
+             {"events", std::to_string(attempt.splitter.events())},
+             {"parts", joinParts(m_facts.parts)}});
+}
+
+}
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -60,6 +60,7 @@
     {
         m_state.control = controlCalls();
         m_state.pauses.setRefresh(m_state.control.refresh);
+        m_state.partReports.setKeeper(m_state.control.keepQuarantine);
     }
 
     void run()
@@ -256,7 +257,7 @@
     if (m_evidence.merge(update)) {
         asio::post(m_context, [this, update] {
             m_state.parts.merge(update);
-            m_state.reportParts();
+            m_state.partReports.report();
         });
     }
 }
@@ -264,7 +265,7 @@
 void gateway_process::passEvidence(steady_time now)
 {
     m_state.parts.dropExpired(now);
-    m_state.reportParts();
+    m_state.partReports.report();
     evidence_update update = m_state.parts.evidence().since(m_evidencePassed);
     m_evidencePassed = update.revision;
     m_control.post([this, now, update = std::move(update)] {
--- a/src/gateway/operator_api.cpp
+++ b/src/gateway/operator_api.cpp
@@ -35,12 +35,9 @@
         servers.push_back({{"server", end.process.server.text}, {"age_ms", age(end.at)}});
     }
     const part_trial *trial = evidence.trial(finding.part);
-    return {{"part", finding.part.text},
-            {"status", toText(finding.status)},
-            {"servers_ended", finding.ends},
-            {"last_end_ms", age(finding.lastEnd)},
-            {"ambiguous", finding.ambiguous},
-            {"trials", trial == nullptr ? 0 : trial->number - (trial->started ? 0 : 1)},
+    return {{"part", finding.part.text},      {"status", toText(finding.status)},
+            {"servers_ended", finding.ends},  {"last_end_ms", age(finding.lastEnd)},
+            {"ambiguous", finding.ambiguous}, {"trials", trial == nullptr ? 0 : trial->number - (trial->started ? 0 : 1)},
             {"ends", std::move(servers)}};
 }
 
@@ -62,7 +59,7 @@
     }
     logLine(log_level::warning, "prompt_part_released", {{"part", part.text}});
     state.parts.release(part, std::chrono::steady_clock::now());
-    state.reportParts();
+    state.partReports.report();
     respondJson(call, 200, {{"released", part.text}});
 }
 
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -54,6 +54,7 @@
     , port(platform)
     , headerNames(platform.platformHeaderNames())
     , parts(instance_id{gatewaySettings.name}, {gatewaySettings.quarantineEnds})
+    , partReports(parts, gatewayCounters)
     , endChecks(ioContext)
     , pool(ioContext)
     , random(std::hash<std::string>()(gatewaySettings.name))
@@ -125,39 +126,6 @@
     return {server, found == fleet->servers.end() ? 0 : found->second.incarnation};
 }
 
-void traffic_state::reportParts()
-{
-    for (const part_finding &finding : parts.takeChanges()) {
-        counters.count("prompt_part_changes", {{"status", toText(finding.status)}});
-        const auto age = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - finding.lastEnd);
-        logLine(finding.status == part_status::quarantined ? log_level::warning : log_level::info, "prompt_part",
-                {{"part", finding.part.text},
-                 {"status", toText(finding.status)},
-                 {"servers_ended", std::to_string(finding.ends)},
-                 {"span_ms", std::to_string(std::chrono::duration_cast<milliseconds>(finding.lastEnd - finding.firstEnd).count())},
-                 {"last_end_ms", std::to_string(age.count())},
-                 {"ambiguous", finding.ambiguous ? "yes" : "no"}});
-        keepPart(finding);
-    }
-    std::map<part_status, int> numbers;
-    for (const auto &[part, finding] : parts.findings()) {
-        ++numbers[finding.status];
-    }
-    for (const part_status status : {part_status::suspected, part_status::quarantined}) {
-        counters.set("prompt_parts", numbers[status], {{"status", toText(status)}});
-    }
-}
-
-void traffic_state::keepPart(const part_finding &finding)
-{
-    if (finding.status == part_status::quarantined && parts.witnessed(finding.part)) {
-        m_keptParts.insert(finding.part);
-        control.keepQuarantine(finding.part, parts.evidence().about(finding.part));
-    } else if (finding.status == part_status::clear && m_keptParts.erase(finding.part) > 0) {
-        control.keepQuarantine(finding.part, {});
-    }
-}
-
 double traffic_state::draw()
 {
     return std::generate_canonical<double, 32>(random);
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -11,6 +11,7 @@
 #include "core/shared_load.h"
 #include "core/stream_duration_estimator.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/part_reporter.h"
 #include "gateway/pause_recovery.h"
 #include "gateway/platform_port.h"
 #include "gateway/server_end_check.h"
@@ -31,7 +32,7 @@
                        std::function<void(order_outcome, std::string)> done)>
         orderRepath;
     state_refresh refresh;
-    std::function<void(const part_id &part, const evidence_update &evidence)> keepQuarantine;
+    keep_quarantine keepQuarantine;
 };
 
 // Limits the log lines that requests write per second; counts the dropped ones.
@@ -71,6 +72,7 @@
     server_health health;
     shared_load peers;     // load reports of the other instances
     part_quarantine parts; // parts of prompts that end servers
+    part_reporter partReports;
     server_end_check endChecks;
     int knownInstances = 1;               // including this one; the extra repeats are divided by it
     stream_duration_estimator streamTime; // estimated from the streams of this instance
@@ -104,10 +106,6 @@
     void applyPeerReport(peer_report report);
     // The process of a server that runs now, as far as known.
     server_process processOf(const server_id &server) const;
-    // Logs, counts and keeps the parts whose status has changed.
-    void reportParts();
-    // Keeps the evidence against a part that this instance has witnessed.
-    void keepPart(const part_finding &finding);
     // This instance's part of the repeat budget of a service.
     repeat_budget &budgetOf(const service_id &service);
     // Uniformly distributed random number in [0, 1).
@@ -137,7 +135,6 @@
     std::vector<stage_candidate> candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now);
 
     std::map<service_id, repeat_budget> m_budgets;
-    std::set<part_id> m_keptParts; // whose evidence this instance has written to the platform
 };
 
 // Counts bytes of one answer in traffic_state::bufferedAnswerBytes until it is destroyed.
