Soak: prompts with a part that ends servers, judged by what reaches servers after the fifth end

The judge counts what reaches servers, sent by instances in touch, later than 3 s after the fifth such end: more than three breaks BUDGET. A crash or a drain of a server that is already away is left out.

--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace chestnut::soak
 {
@@ -15,12 +16,14 @@
 
 using nlohmann::json;
 
-constexpr int SLOTS = 12;                 // requests that a server works on at once
-constexpr milliseconds STALL_LIMIT{3000}; // a stream whose stage is down for longer is broken off
-constexpr milliseconds LOAD_TIME{200};    // of newly ordered layers
-constexpr milliseconds STEP{10};          // between two checks of a waiting request
-constexpr milliseconds KEPT_ON{1500};     // by the seeded fault keep_on
-constexpr milliseconds ACCEPT_STEP{20};   // between two checks whether to go on listening
+constexpr int SLOTS = 12;                      // requests that a server works on at once
+constexpr milliseconds STALL_LIMIT{3000};      // a stream whose stage is down for longer is broken off
+constexpr milliseconds LOAD_TIME{200};         // of newly ordered layers
+constexpr milliseconds STEP{10};               // between two checks of a waiting request
+constexpr milliseconds PROMPT_CRASH_DELAY{50}; // from the first event of a prompt that ends the server
+constexpr milliseconds CRASH_WAIT{10'000};     // longer than the rig takes to crash a server
+constexpr milliseconds KEPT_ON{1500};          // by the seeded fault keep_on
+constexpr milliseconds ACCEPT_STEP{20};        // between two checks whether to go on listening
 constexpr const char *SIGNATURE = "X-Chestnutgw-Response-Signature: s.1\r\n";
 
 std::string jsonAnswer(const std::string &status, const json &body)
@@ -112,6 +115,7 @@
     m_all.byAddress[m_address] = this;
     m_up = true;
     m_draining = false;
+    m_crashWish = false;
     m_sequence = 0;
     m_born = wallClockMs();
     m_entries = 0;
@@ -166,11 +170,18 @@
     m_listener = unique_fd();
 }
 
-void backend_server::restart()
+bool backend_server::takeCrashWish()
+{
+    const std::lock_guard lock(m_all.mutex);
+    return std::exchange(m_crashWish, false);
+}
+
+void backend_server::restart(bool loaded)
 {
     std::string old;
     {
         const std::lock_guard lock(m_all.mutex);
+        m_held = loaded ? m_plan.held : layer_span();
         old = idLocked();
     }
     m_all.store.put("keyed.servers", old, "");
@@ -290,6 +301,7 @@
     entry.id = id;
     entry.service = m_plan.service;
     entry.arrived = arrived;
+    entry.crashing = namesCrashingPart(in.header("x-chestnutgw-prefix-hash"));
     std::vector<stage> path = m_plan.held.to > 0 ? parsePath(in.header("x-chestnutgw-hop-count")) : std::vector<stage>();
     if (m_plan.held.to > 0 && (!coversLayers(path) || m_all.fault == seeded_fault::gap)) {
         entry.flaw = "LAYERS path " + in.header("x-chestnutgw-hop-count");
@@ -473,12 +485,31 @@
             return;
         }
         ++request.events;
+        if (namesCrashingPart(in.header("x-chestnutgw-prefix-hash"))) {
+            return crashByPrompt(request);
+        }
     }
     if (sendPart(request, "0\r\n\r\n")) {
         request.end = run_end::completed;
     }
 }
 
+void backend_server::crashByPrompt(running_request &request)
+{
+    if (pause(request, PROMPT_CRASH_DELAY) != waited::over) {
+        return;
+    }
+    {
+        const std::lock_guard lock(m_all.mutex);
+        m_crashWish = !m_draining; // a draining server breaks off this stream only
+        request.end = run_end::broke_off;
+        if (m_draining) {
+            return;
+        }
+    }
+    pause(request, CRASH_WAIT); // until the rig crashes the server
+}
+
 void backend_server::servePlain(running_request &request, const std::string &subject, const std::string &head)
 {
     if (pause(request, plainTime(subject)) != waited::over) {
--- a/tests/soak/backend.h
+++ b/tests/soak/backend.h
@@ -68,8 +68,10 @@
     void refuse(milliseconds length);
     // Resets all connections and stops listening.
     void crash();
-    // Starts listening again, under a new id and without layers.
-    void restart();
+    // True if a prompt has ended this server, once: the rig has to crash it.
+    bool takeCrashWish();
+    // Starts listening again, under a new id; with the planned layers if `loaded`, else without any.
+    void restart(bool loaded = false);
     // Registers as draining.
     void beginDrain();
     // Stops listening and closes idle connections; requests in flight are finished.
@@ -118,6 +120,8 @@
     // Updates the stage that a stream waits for. Returns false if that has been down for too long.
     bool checkStages(running_request &request);
     bool sendPart(running_request &request, const std::string &bytes);
+    // A prompt ends the server shortly after the first event.
+    void crashByPrompt(running_request &request);
     void serveStream(running_request &request, const http_message &in, const std::string &subject, const std::string &head);
     void servePlain(running_request &request, const std::string &subject, const std::string &head);
     std::string report(bool health);
@@ -137,6 +141,7 @@
     // Guarded by the fleet's mutex.
     bool m_up = false;
     bool m_draining = false;
+    bool m_crashWish = false;
     int m_boot = 0;
     int m_sequence = 0;      // orders begun since the start
     std::int64_t m_born = 0; // time of the start
--- a/tests/soak/client.cpp
+++ b/tests/soak/client.cpp
@@ -80,7 +80,8 @@
 
 client::request client::newRequest(request_kind kind)
 {
-    return {m_name + "-" + std::to_string(++m_requests), kind, 0, 0, std::chrono::steady_clock::now() + DEADLINE};
+    const bool crashing = isStream(kind) && m_environment.sendsCrashingPart(m_random());
+    return {m_name + "-" + std::to_string(++m_requests), kind, 0, 0, std::chrono::steady_clock::now() + DEADLINE, crashing};
 }
 
 std::string client::encode(const request &one, const attempt &entry) const
@@ -89,6 +90,7 @@
     const auto left = std::chrono::duration_cast<milliseconds>(one.deadline - std::chrono::steady_clock::now());
     return std::string("POST /") + toText(one.kind) + "/" + one.subject + " HTTP/1.1\r\nHost: h.example\r\nX-Chestnutgw-Request-Id: " + entry.id
         + "\r\nX-Chestnutgw-Deadline-Ms: " + std::to_string(left.count()) + "\r\nAuthorization: Bearer " + entry.key + "\r\nX-Chestnutgw-Token-Count: 10,10\r\n"
+        + (isStream(one.kind) ? partsHeader(one.subject, one.crashing) : "")
         + (one.nextEvent > 0 ? "Last-Event-Id: " + std::to_string(one.nextEvent - 1) + "\r\n" : "") + "Content-Length: " + std::to_string(body.size())
         + "\r\n\r\n" + body;
 }
--- a/tests/soak/client.h
+++ b/tests/soak/client.h
@@ -30,6 +30,7 @@
     std::function<std::string(std::uint64_t draw)> pickKey;
     std::function<milliseconds()> idleLimit; // of connections
     std::function<bool()> stopping;
+    std::function<bool(std::uint64_t draw)> sendsCrashingPart; // whether a new stream's prompt ends servers
 };
 
 class client
@@ -48,6 +49,7 @@
         int attempts = 0;
         int nextEvent = 0;
         steady_time deadline;
+        bool crashing = false; // its prompt ends servers
     };
     enum class manner
     {
--- a/tests/soak/content.cpp
+++ b/tests/soak/content.cpp
@@ -12,7 +12,9 @@
 namespace
 {
 
-constexpr const char *FAULT_NAMES[] = {"none", "twice", "drop_event", "foreign", "ran", "keep_on", "break_off", "lost_key", "late_drain", "gap"};
+constexpr const char *FAULT_NAMES[]
+    = {"none", "twice", "drop_event", "foreign", "ran", "keep_on", "break_off", "lost_key", "late_drain", "gap", "no_quarantine"};
+constexpr const char *CRASHING_PART = "bad0:50,";
 
 // A number from 0 to count - 1, drawn by a subject and a purpose.
 int drawn(const std::string &subject, const char *purpose, int count)
@@ -31,6 +33,19 @@
     return static_cast<seeded_fault>(found - std::begin(FAULT_NAMES));
 }
 
+std::string partsHeader(const std::string &subject, bool crashing)
+{
+    constexpr std::size_t FIRST_PARTS = 3;
+    const std::size_t number = std::hash<std::string>()(subject);
+    const std::string first = "f" + std::to_string(number % FIRST_PARTS);
+    return "X-Chestnutgw-Prefix-Hash: " + first + ":40," + (crashing ? CRASHING_PART : "") + std::to_string(number) + ":10\r\n";
+}
+
+bool namesCrashingPart(const std::string &value)
+{
+    return value.find(CRASHING_PART) != std::string::npos;
+}
+
 std::string requestBody(const std::string &subject)
 {
     return "for " + subject;
--- a/tests/soak/judges.cpp
+++ b/tests/soak/judges.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds DEADLINE_SLACK{100};
 constexpr milliseconds ARRIVAL_SLACK{100};
 constexpr std::size_t MAX_LATE_RELEASES = 2;
+constexpr std::size_t ENDS_UNTIL_KNOWN = 5;   // of servers under one part of a prompt
+constexpr std::size_t MAX_LATER_ARRIVALS = 3; // of requests with that part
 
 bool isIdempotent(request_kind kind)
 {
@@ -52,6 +54,7 @@
             judgeConfig(one);
             judgeDrain(one);
         }
+        judgeCrashingPart();
         if (m_late.size() > MAX_LATE_RELEASES) {
             m_result.broken.insert(m_result.broken.end(), m_late.begin(), m_late.end());
         }
@@ -242,6 +245,33 @@
         }
     }
 
+    // Once five servers have ended under a part, few requests with it reach servers.
+    void judgeCrashingPart()
+    {
+        std::vector<milliseconds> ends;
+        for (const incident &one : m_seen.incidents) {
+            if (one.what == CRASH_BY_PROMPT) {
+                ends.push_back(one.from);
+            }
+        }
+        if (ends.size() < ENDS_UNTIL_KNOWN) {
+            return;
+        }
+        std::sort(ends.begin(), ends.end());
+        const milliseconds known = ends[ENDS_UNTIL_KNOWN - 1] + CONTACT;
+        std::size_t later = 0;
+        for (const attempt &one : m_seen.attempts) {
+            for (const run &seen : runsOf(one)) {
+                const bool counts = seen.crashing && seen.executed && seen.arrived > known && inTouch(one);
+                if (counts && ++later > MAX_LATER_ARRIVALS) {
+                    report("BUDGET", one,
+                           seen.server + " got it at " + std::to_string(seen.arrived.count()) + ", five servers had ended by "
+                               + std::to_string((known - CONTACT).count()));
+                }
+            }
+        }
+    }
+
     const evidence &m_seen;
     verdicts m_result;
     std::vector<finding> m_late;                    // released too late
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -70,10 +70,13 @@
     run_end end = run_end::running;
     bool executed = true;   // false: turned away
     bool disturbed = false; // a server on its path was down
+    bool crashing = false;  // its prompt ends servers
     std::string flaw;       // rule that the request itself breaks, and how
     int events = 0;
 };
 
+constexpr const char *CRASH_BY_PROMPT = "crash by a prompt"; // kind of incident
+
 // What happened to one party, from its beginning to its end.
 struct incident
 {
--- a/tests/soak/rig.cpp
+++ b/tests/soak/rig.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds GRACE{5000};             // from SIGTERM to SIGKILL
 constexpr milliseconds DRAIN_LENGTH{3500};      // from the entry of a draining server until it leaves
 constexpr milliseconds MAX_REWRITE_DELAY{1200}; // until the operator and the servers write again what a restored store forgot
+constexpr std::uint64_t CRASHING_SHARE = 6;     // one in so many streams has a prompt that ends servers
+constexpr milliseconds RESTART_DELAY{900};      // of a server that a prompt has ended
 constexpr int MANY_ROUTES = 1500;               // added by one configuration
 constexpr int MAX_EXTRA_ROUTES = 6000;
 
@@ -56,8 +58,12 @@
     : m_settings(std::move(settings))
     , m_drawn(std::move(drawn))
     , m_fleet{m_book, m_store, m_settings.fault, {}, {}}
-    , m_environment{m_book, [this](std::uint64_t draw) { return pickFront(draw); }, [this](std::uint64_t draw) { return pickKey(draw); },
-                    [this] { return milliseconds(m_idleMs.load()); }, [this] { return m_stopping.load(); }}
+    , m_environment{m_book,
+                    [this](std::uint64_t draw) { return pickFront(draw); },
+                    [this](std::uint64_t draw) { return pickKey(draw); },
+                    [this] { return milliseconds(m_idleMs.load()); },
+                    [this] { return m_stopping.load(); },
+                    [this](std::uint64_t draw) { return m_book.now() < milliseconds(m_crashingUntilMs.load()) && draw % CRASHING_SHARE == 0; }}
     , m_seed(seed)
 {
     m_keys.emplace_back("key0", milliseconds(0));
@@ -103,6 +109,7 @@
         "repeats.extra=200",
         "repeats.instances=" + std::to_string(m_drawn.gateways),
         "log.lines_per_second=100000",
+        std::string("quarantine.ends=") + (m_settings.fault == seeded_fault::no_quarantine ? "0" : "3"),
     };
     one.startBegan = m_book.now();
     one.starting = std::async(std::launch::async,
@@ -188,6 +195,7 @@
         for (gateway &one : m_gateways) {
             checkGateway(one);
         }
+        crashByPrompts();
     }
     for (std::thread &one : m_clients) {
         one.join();
@@ -222,6 +230,9 @@
         return reconfigure(one);
     case action::store:
         return disturbStore(one);
+    case action::crashing_part:
+        m_crashingUntilMs = (m_book.now() + one.length).count();
+        return;
     case action::restore:
         return restoreStore(one);
     default:
@@ -229,10 +240,33 @@
     }
 }
 
+void rig::crashByPrompts()
+{
+    for (const auto &one : m_servers) {
+        backend_server &server = *one;
+        if (!server.takeCrashWish() || !m_away.insert(&server).second) {
+            continue;
+        }
+        m_book.add(incident{m_book.now(), m_book.now() + RESTART_DELAY, CRASH_BY_PROMPT, server.plan().name, false});
+        server.crash();
+        schedule(RESTART_DELAY, [this, &server] { comeBack(server, true); });
+    }
+}
+
+void rig::comeBack(backend_server &server, bool loaded)
+{
+    server.restart(loaded);
+    m_away.erase(&server);
+}
+
 void rig::applyToServer(const event &one)
 {
     backend_server &server = *m_servers[static_cast<std::size_t>(one.target)];
     const milliseconds now = m_book.now();
+    const bool leaves = one.what == action::crash || one.what == action::drain;
+    if (leaves && !m_away.insert(&server).second) {
+        return; // it is away or leaving already
+    }
     if (one.what != action::drain) {
         m_book.add(incident{now, now + one.length, toText(one.what), server.plan().name, false});
     }
@@ -243,12 +277,12 @@
         return server.refuse(one.length);
     case action::crash:
         server.crash();
-        return schedule(one.length, [&server] { server.restart(); });
+        return schedule(one.length, [this, &server] { comeBack(server); });
     default:
         server.beginDrain();
         schedule(DRAIN_LENGTH, [this, &server, length = one.length] {
             server.leave();
-            schedule(length, [&server] { server.restart(); });
+            schedule(length, [this, &server] { comeBack(server); });
         });
     }
 }
--- a/tests/soak/rig.h
+++ b/tests/soak/rig.h
@@ -59,6 +59,10 @@
     void publish();
     void apply(const event &one);
     void applyToServer(const event &one);
+    // Crashes the servers that prompts have ended.
+    void crashByPrompts();
+    // Restarts a server that was away.
+    void comeBack(backend_server &server, bool loaded = false);
     void applyToGateway(const event &one);
     void reconfigure(const event &one);
     void disturbStore(const event &one);
@@ -88,6 +92,8 @@
     int m_version = 0;
     int m_timeoutMs = 1500;
     std::atomic<int> m_idleMs = 5000;
+    std::atomic<std::int64_t> m_crashingUntilMs = 0; // until then some streams have prompts that end servers
+    std::set<backend_server *> m_away;               // crashed, draining or gone
     int m_extraRoutes = 0;
     int m_weight = 0; // of the second plain service, of 2
     std::atomic<bool> m_stopping = false;
--- a/tests/soak/timeline.cpp
+++ b/tests/soak/timeline.cpp
@@ -22,6 +22,7 @@
 public:
     drawer(int seed, int seconds)
         : m_random(static_cast<std::uint64_t>(seed))
+        , m_partRandom(static_cast<std::uint64_t>(seed), 1)
         , m_end(milliseconds(seconds * 1000) - QUIET_END)
     {
     }
@@ -33,6 +34,7 @@
             drawEpisode(at);
         }
         drawRestores();
+        drawCrashingPart();
         std::stable_sort(m_drawn.events.begin(), m_drawn.events.end(), [](const event &left, const event &right) { return left.at < right.at; });
         return m_drawn;
     }
@@ -137,6 +139,16 @@
             add(away + one.length + milliseconds(draw(1500)), config_change::new_key);
         }
     }
+
+    // On every second day; from a generator of its own, so that a seed keeps its other events.
+    void drawCrashingPart()
+    {
+        if (m_partRandom(2) == 0) {
+            const milliseconds at = QUIET_START + milliseconds(m_partRandom(1500));
+            m_drawn.events.push_back({at, action::crashing_part, 0, m_end - at, 0, milliseconds(0)});
+        }
+    }
+
     void add(milliseconds at, config_change what)
     {
         m_drawn.events.push_back({at, action::reconfigure, 0, milliseconds(0), static_cast<int>(what), milliseconds(0)});
@@ -197,6 +209,7 @@
     }
 
     pcg32 m_random;
+    pcg32 m_partRandom;
     milliseconds m_end;
     timeline m_drawn;
     std::vector<milliseconds> m_serverFree;
@@ -207,7 +220,8 @@
 
 const char *toText(action what)
 {
-    static constexpr const char *NAMES[] = {"silence", "refuse", "crash", "drain", "reconfigure", "hangup", "terminate", "freeze", "kill", "store", "restore"};
+    static constexpr const char *NAMES[]
+        = {"silence", "refuse", "crash", "drain", "reconfigure", "hangup", "terminate", "freeze", "kill", "store", "restore", "crashing part"};
     return NAMES[static_cast<int>(what)];
 }
 
@@ -232,7 +246,7 @@
         return text + toText(static_cast<config_change>(one.variant % 5));
     } else if (one.what == action::restore) {
         text += "from a copy " + std::to_string(one.copyAge.count()) + " ms old, away";
-    } else if (one.what != action::store) {
+    } else if (one.what != action::store && one.what != action::crashing_part) {
         text += "g" + std::to_string(one.target);
     }
     return text + " for " + std::to_string(one.length.count()) + " ms";
--- a/tests/soak/timeline.h
+++ b/tests/soak/timeline.h
@@ -12,17 +12,18 @@
 
 enum class action
 {
-    silence,     // a backend server sends no byte for a while
-    refuse,      // a backend server turns requests away for a while
-    crash,       // a backend server crashes and restarts
-    drain,       // a backend server drains, leaves and comes back
-    reconfigure, // the operator publishes a configuration
-    hangup,      // SIGHUP to a gateway
-    terminate,   // SIGTERM to a gateway and a restart
-    freeze,      // SIGSTOP to a gateway, SIGCONT later
-    kill,        // SIGKILL to a gateway and a restart
-    store,       // the store fails
-    restore      // the store comes back from an older copy
+    silence,      // a backend server sends no byte for a while
+    refuse,       // a backend server turns requests away for a while
+    crash,        // a backend server crashes and restarts
+    drain,        // a backend server drains, leaves and comes back
+    reconfigure,  // the operator publishes a configuration
+    hangup,       // SIGHUP to a gateway
+    terminate,    // SIGTERM to a gateway and a restart
+    freeze,       // SIGSTOP to a gateway, SIGCONT later
+    kill,         // SIGKILL to a gateway and a restart
+    store,        // the store fails
+    restore,      // the store comes back from an older copy
+    crashing_part // clients send prompts with a part that ends servers for a while
 };
 
 const char *toText(action what);
