--- a/tests/part_quarantine_simulation_test.cpp
+++ b/tests/part_quarantine_simulation_test.cpp
@@ -322,7 +322,11 @@
     many.instances = 60;
     many.servers = 40;
     many.requestsPerSecond = 200;
-    return {plain, rare, frequent, hot, mass, many};
+    day_plan most = many;
+    most.instances = 195;
+    most.servers = 60;
+    most.crashingPerSecond = 4;
+    return {plain, rare, frequent, hot, mass, many, most};
 }
 
 // Days without one on which servers end for other reasons.
@@ -342,7 +346,7 @@
 
 TEST_CASE("simulated days: a crashing part is kept from servers within the contact time of the fifth end", "[unit]")
 {
-    const auto number = GENERATE(range(0, 6));
+    const auto number = GENERATE(range(0, 7));
     const auto seed = GENERATE(range(1, 6));
     CAPTURE(number, seed);
     const day_result result = simulated_day(crashingDays()[static_cast<std::size_t>(number)], static_cast<std::uint64_t>(seed)).play();
