Soak: servers say in answers that they leave or want quiet, judged for the instance that read it

A draining server's answers carry Server-Leaving; a third of the refusals ask with Retry-After for 0.6 to 1.5 s without requests. Judged by gateway process and server: no request that a client sent later than 2.1 s after such an answer reaches a leaving server, whatever the store says; from half a second after a refusal at most two requests reach a server that asked for quiet.

--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -314,6 +314,9 @@
         entry.server = idLocked();
         problem = obstacle(in, path);
         entry.executed = problem.empty() || m_all.fault == seeded_fault::ran;
+        entry.leaving = m_draining;
+        const bool ownRefusal = problem == "503 Service Unavailable\n";
+        entry.quiet = ownRefusal && std::chrono::steady_clock::now() < m_refusesUntil ? quietTime(id) : milliseconds(0);
         if (problem.empty()) {
             ++m_running;
         }
@@ -326,7 +329,10 @@
     if (problem.empty() && m_all.fault == seeded_fault::twice) {
         m_all.book.end(m_all.book.begin(entry), run_end::completed, 0, false);
     }
-    const std::string head = SIGNATURE + ("X-Chestnutgw-Request-Id: " + id + "\r\n");
+    const bool says = m_all.fault != seeded_fault::unsaid;
+    std::string head = SIGNATURE + ("X-Chestnutgw-Request-Id: " + id + "\r\n");
+    head += says && entry.leaving ? "Server-Leaving: 1\r\n" : "";
+    head += says && entry.quiet.count() > 0 ? "Retry-After: " + std::to_string(toSeconds(entry.quiet)) + "\r\n" : "";
     if (!problem.empty()) {
         const std::size_t split = problem.find('\n');
         const std::string at = problem.size() > split + 1 ? "At-Server: " + problem.substr(split + 1) + "\r\n" : "";
--- a/tests/soak/content.cpp
+++ b/tests/soak/content.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr const char *FAULT_NAMES[]
-    = {"none", "twice", "drop_event", "foreign", "ran", "keep_on", "break_off", "lost_key", "late_drain", "gap", "no_quarantine"};
+    = {"none", "twice", "drop_event", "foreign", "ran", "keep_on", "break_off", "lost_key", "late_drain", "gap", "no_quarantine", "unsaid"};
 constexpr const char *CRASHING_PART = "bad0:50,";
 
 // A number from 0 to count - 1, drawn by a subject and a purpose.
@@ -46,6 +46,11 @@
     return value.find(CRASHING_PART) != std::string::npos;
 }
 
+milliseconds quietTime(const std::string &id)
+{
+    return milliseconds(drawn(id, "asks", 3) == 0 ? 600 + 100 * drawn(id, "quiet", 10) : 0);
+}
+
 std::string requestBody(const std::string &subject)
 {
     return "for " + subject;
--- a/tests/soak/judges.cpp
+++ b/tests/soak/judges.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds LOSS_SLACK{200};     // a request that crosses the close of its connection ends sooner
 constexpr milliseconds DEADLINE_SLACK{100};
 constexpr milliseconds ARRIVAL_SLACK{100};
+constexpr milliseconds QUIET_SLACK{500}; // from a refusal until the gateway sends that server nothing
+constexpr std::size_t MAX_IN_QUIET = 2;  // requests on their way by then
 constexpr std::size_t MAX_LATE_RELEASES = 2;
 constexpr std::size_t ENDS_UNTIL_KNOWN = 5;   // of servers under one part of a prompt
 constexpr std::size_t MAX_LATER_ARRIVALS = 3; // of requests with that part
@@ -55,6 +57,7 @@
             judgeDrain(one);
         }
         judgeCrashingPart();
+        judgeSaid();
         if (m_late.size() > MAX_LATE_RELEASES) {
             m_result.broken.insert(m_result.broken.end(), m_late.begin(), m_late.end());
         }
@@ -245,6 +248,52 @@
         }
     }
 
+    // What a server says of itself in an answer holds for the instance that has read it, whatever the store says: no request sent by a
+    // client later than the drain time after "leaving", and few from half a second after a refusal that asks for quiet until its end.
+    void judgeSaid()
+    {
+        std::map<std::string, std::vector<std::pair<const attempt *, const run *>>> byPair; // gateway process and server
+        for (const attempt &one : m_seen.attempts) {
+            for (const run &seen : runsOf(one)) {
+                byPair[one.gateway + "." + std::to_string(one.boot) + " " + seen.server].emplace_back(&one, &seen);
+            }
+        }
+        for (const auto &[pair, all] : byPair) {
+            for (const auto &[said, answer] : all) {
+                if (answer->leaving && answer->end == run_end::completed) {
+                    judgeLeaving(*answer, all);
+                }
+                if (answer->quiet.count() > 0 && answer->end == run_end::completed) {
+                    judgeQuiet(*answer, all);
+                }
+            }
+        }
+    }
+
+    void judgeLeaving(const run &answer, const std::vector<std::pair<const attempt *, const run *>> &all)
+    {
+        for (const auto &[sent, seen] : all) {
+            if (sent->sent > answer.ended + DRAIN_TIME + ARRIVAL_SLACK && !disturbed("rig", sent->sent, seen->arrived)) {
+                report("DRAIN", *sent,
+                       seen->server + " got it at " + std::to_string(seen->arrived.count()) + ", had said at " + std::to_string(answer.ended.count())
+                           + " that it leaves");
+            }
+        }
+    }
+
+    void judgeQuiet(const run &answer, const std::vector<std::pair<const attempt *, const run *>> &all)
+    {
+        std::size_t count = 0;
+        for (const auto &[sent, seen] : all) {
+            const bool within = seen->arrived > answer.ended + QUIET_SLACK && seen->arrived < answer.ended + answer.quiet;
+            if (within && ++count > MAX_IN_QUIET && !disturbed(sent->gateway, answer.ended, seen->arrived)) {
+                report("QUIET", *sent,
+                       seen->server + " got it at " + std::to_string(seen->arrived.count()) + ", asked at " + std::to_string(answer.ended.count()) + " for "
+                           + std::to_string(answer.quiet.count()) + " ms without requests");
+            }
+        }
+    }
+
     // Once five servers have ended under a part, few requests with it reach servers.
     void judgeCrashingPart()
     {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -71,6 +71,8 @@
     bool executed = true;   // false: turned away
     bool disturbed = false; // a server on its path was down
     bool crashing = false;  // its prompt ends servers
+    bool leaving = false;   // the answer says that the server is about to leave
+    milliseconds quiet{0};  // for which the refusal asks to be left alone
     std::string flaw;       // rule that the request itself breaks, and how
     int events = 0;
 };
