Names: traffic_state::quarantine, evictOne, dropUnreferenced; constants say what they count from

Read as a newcomer: m_state.parts.admit() didn't tell that it asks the quarantine, and "least telling", "unconcerned" are no terms of the field. Names and comments only; unit tests (124) pass.

--- a/src/core/crash_evidence.cpp
+++ b/src/core/crash_evidence.cpp
@@ -38,7 +38,7 @@
     if (changed) {
         entry->second.revision = ++m_revision;
         if (m_ends.size() > MAX_ENDS) {
-            dropLeastTelling();
+            evictOne();
         }
     }
     return changed;
@@ -86,7 +86,7 @@
 {
     const std::size_t dropped = std::erase_if(m_ends, [now](const auto &entry) { return now - entry.second.content.at > MEMORY; });
     if (dropped > 0) {
-        dropUnconcerned();
+        dropUnreferenced();
         ++m_revision;
     }
 }
@@ -158,7 +158,6 @@
     return last;
 }
 
-// True if every part of it was later answered by a server that lived on.
 bool crash_evidence::outlived(const end_record &end) const
 {
     return std::all_of(end.parts.begin(), end.parts.end(), [&](const part_id &part) {
@@ -167,17 +166,17 @@
     });
 }
 
-void crash_evidence::dropLeastTelling()
+void crash_evidence::evictOne()
 {
     const auto least = std::min_element(m_ends.begin(), m_ends.end(), [&](const auto &left, const auto &right) {
         const auto rank = [&](const end_record &end) { return std::pair(!outlived(end), end.at); };
         return rank(left.second.content) < rank(right.second.content);
     });
     m_ends.erase(least);
-    dropUnconcerned();
+    dropUnreferenced();
 }
 
-void crash_evidence::dropUnconcerned()
+void crash_evidence::dropUnreferenced()
 {
     std::erase_if(m_survivals, [&](const auto &entry) { return !lastEnd(entry.first); });
     std::erase_if(m_trials, [&](const auto &entry) { return !lastEnd(entry.first); });
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -69,7 +69,7 @@
 {
 public:
     static constexpr std::chrono::hours MEMORY{1}; // after which an end is forgotten
-    static constexpr std::size_t MAX_ENDS = 256;   // the least telling ones are forgotten first
+    static constexpr std::size_t MAX_ENDS = 256;   // beyond it the oldest are forgotten, outlived ones first
     static constexpr std::size_t MAX_PARTS_PER_END = 64;
 
     // Each returns false if the copy did not change.
@@ -111,9 +111,12 @@
         std::set<part_id> parts;
     };
 
+    // True if every part of the end was later answered by a server that lived on.
     bool outlived(const end_record &end) const;
-    void dropLeastTelling();
-    void dropUnconcerned();
+    // Forgets the oldest end, one that is outlived before any other.
+    void evictOne();
+    // Forgets survivals and trials of parts without an end.
+    void dropUnreferenced();
 
     std::uint64_t m_revision = 0;
     std::map<server_process, revised<end_record>> m_ends;
--- a/src/core/part_quarantine.cpp
+++ b/src/core/part_quarantine.cpp
@@ -11,17 +11,18 @@
 namespace
 {
 
-constexpr milliseconds SAME_MOMENT{30};          // servers that end within this time of each other have one cause
-constexpr milliseconds NEAR_MOMENT{200};         // those that end within this time may have one
-constexpr seconds SOUND_MEMORY{60};              // a part that a server survived so shortly before counts as known to be sound
-constexpr int MORE_ENDS_IF_SOUND = 2;            // further ends needed against a part that is known to be sound
-constexpr milliseconds SUSPECT_RETRY{1000};      // Retry-After while another request with a suspected part is at a server
-constexpr milliseconds QUARANTINE_RETRY{30'000}; // longest Retry-After of a quarantined part
-constexpr milliseconds TRIAL_SETTLE{1200};       // from a claim to the trial: all instances know of the claim by then
-constexpr seconds CLAIM_LIFETIME{10};            // a claim whose trial has not started is void after this time
-constexpr milliseconds FIRST_TRIAL_AMBIGUOUS{800};
-constexpr std::chrono::seconds TRIAL_DELAYS[part_quarantine::MAX_TRIALS] = {seconds(30), seconds(120), seconds(600)}; // after the last end or trial
-constexpr std::size_t MAX_SURVIVALS = 4096;                                                                           // parts known to be sound
+constexpr milliseconds SAME_MOMENT{30};            // servers that end within this time of each other have one cause
+constexpr milliseconds NEAR_MOMENT{200};           // those that end within this time may have one
+constexpr seconds SOUND_MEMORY{60};                // a part that a server survived so shortly before counts as known to be sound
+constexpr int MORE_ENDS_IF_SOUND = 2;              // further ends needed against a part that is known to be sound
+constexpr milliseconds SUSPECT_RETRY{1000};        // Retry-After while another request with a suspected part is at a server
+constexpr milliseconds QUARANTINE_RETRY{30'000};   // longest Retry-After of a quarantined part
+constexpr milliseconds TRIAL_SETTLE{1200};         // from a claim to the trial: all instances know of the claim by then
+constexpr seconds CLAIM_LIFETIME{10};              // a claim whose trial has not started is void after this time
+constexpr milliseconds FIRST_TRIAL_AMBIGUOUS{800}; // from the last end to the first trial if the finding is ambiguous
+constexpr std::chrono::seconds TRIAL_DELAYS[part_quarantine::MAX_TRIALS]
+    = {seconds(30), seconds(120), seconds(600)}; // by the number of trials so far: from the last end or trial to the next one
+constexpr std::size_t MAX_SURVIVALS = 4096;      // parts known to be sound
 
 using end_list = std::vector<const server_end *>; // oldest first
 
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -186,7 +186,7 @@
     attempt.lastData = std::chrono::steady_clock::now();
     attempt.sent = attempt.lastData;
     attempt.process = m_state.processOf(first.server);
-    attempt.exposure = std::make_unique<part_exposure>(m_state.parts, m_facts.parts);
+    attempt.exposure = std::make_unique<part_exposure>(m_state.quarantine, m_facts.parts);
     spawnLogged(m_state.context, "stall_monitor", monitorStalls(shared_from_this(), attempt.shared_from_this()));
     status = co_await exchange.send(bytes, m_facts.deadline);
     co_return status == exchange_status::ok ? opening_state::pending : noteBroken(attempt, exchange, status);
@@ -273,7 +273,7 @@
     if (!m_current || m_second || !mayResume() || m_pathsTried >= MAX_PATHS_TRIED || m_facts.deadline - now < MIN_ATTEMPT_TIME) {
         return false;
     }
-    if (!m_state.parts.mayRepeat(m_facts.parts)) {
+    if (!m_state.quarantine.mayRepeat(m_facts.parts)) {
         return false;
     }
     // A server can't tell two attempts with the same request id apart.
--- a/src/gateway/generation_parts.cpp
+++ b/src/gateway/generation_parts.cpp
@@ -21,15 +21,15 @@
     }
     const bool ended = (co_await m_serverCheck->wait()).value_or(false);
     m_serverCheck.reset();
-    co_return !ended || (m_serversEnded < MAX_SERVERS_ENDED && m_state.parts.mayRepeat(m_facts.parts));
+    co_return !ended || (m_serversEnded < MAX_SERVERS_ENDED && m_state.quarantine.mayRepeat(m_facts.parts));
 }
 
 const char *generation_flow::refuseByParts()
 {
     if (m_outcome.runs > 0) {
-        return m_state.parts.mayRepeat(m_facts.parts) ? nullptr : "part_not_repeated";
+        return m_state.quarantine.mayRepeat(m_facts.parts) ? nullptr : "part_not_repeated";
     }
-    const part_admission admission = m_state.parts.admit(m_facts.parts, std::chrono::steady_clock::now());
+    const part_admission admission = m_state.quarantine.admit(m_facts.parts, std::chrono::steady_clock::now());
     if (admission.status == part_status::clear) {
         return nullptr;
     }
@@ -37,7 +37,7 @@
     m_state.counters.count("prompt_part_requests", {{"status", toText(admission.status)}, {"decision", decision}});
     if (admission.trial) {
         logLine(log_level::warning, "prompt_part_trial", {{"request", m_facts.id}, {"part", admission.part.text}});
-        m_state.partReports.keep(m_state.parts.findings().at(admission.part));
+        m_state.partReports.keep(m_state.quarantine.findings().at(admission.part));
     }
     if (admission.accepted) {
         return nullptr;
@@ -61,7 +61,7 @@
         co_return;
     }
     ++m_serversEnded;
-    m_state.parts.noteEnd({process, broken, m_facts.parts});
+    m_state.quarantine.noteEnd({process, broken, m_facts.parts});
     m_state.partReports.report();
 }
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -256,7 +256,7 @@
 {
     if (m_evidence.merge(update)) {
         asio::post(m_context, [this, update] {
-            m_state.parts.merge(update);
+            m_state.quarantine.merge(update);
             m_state.partReports.report();
         });
     }
@@ -264,9 +264,9 @@
 
 void gateway_process::passEvidence(steady_time now)
 {
-    m_state.parts.dropExpired(now);
+    m_state.quarantine.dropExpired(now);
     m_state.partReports.report();
-    evidence_update update = m_state.parts.evidence().since(m_evidencePassed);
+    evidence_update update = m_state.quarantine.evidence().since(m_evidencePassed);
     m_evidencePassed = update.revision;
     m_control.post([this, now, update = std::move(update)] {
         m_evidence.dropExpired(now);
--- a/src/gateway/operator_api.cpp
+++ b/src/gateway/operator_api.cpp
@@ -44,8 +44,8 @@
 void listQuarantine(http_call &call, traffic_state &state)
 {
     json parts = json::array();
-    for (const auto &[part, finding] : state.parts.findings()) {
-        parts.push_back(describe(finding, state.parts.evidence(), std::chrono::steady_clock::now()));
+    for (const auto &[part, finding] : state.quarantine.findings()) {
+        parts.push_back(describe(finding, state.quarantine.evidence(), std::chrono::steady_clock::now()));
     }
     respondJson(call, 200, {{"parts", std::move(parts)}});
 }
@@ -53,12 +53,12 @@
 void releasePart(http_call &call, traffic_state &state)
 {
     const part_id part{call.query("part")};
-    if (!state.parts.findings().contains(part)) {
+    if (!state.quarantine.findings().contains(part)) {
         respondJson(call, 404, {{"error", {{"code", "unknown_part"}, {"message", "no such part is suspected or quarantined"}}}});
         return;
     }
     logLine(log_level::warning, "prompt_part_released", {{"part", part.text}});
-    state.parts.release(part, std::chrono::steady_clock::now());
+    state.quarantine.release(part, std::chrono::steady_clock::now());
     state.partReports.report();
     respondJson(call, 200, {{"released", part.text}});
 }
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -70,8 +70,8 @@
     steady_time configSince{};                    // when `config` was put in force
     std::shared_ptr<const fleet_snapshot> fleet;  // null until received
     server_health health;
-    shared_load peers;     // load reports of the other instances
-    part_quarantine parts; // parts of prompts that end servers
+    shared_load peers;          // load reports of the other instances
+    part_quarantine quarantine; // parts of prompts that end servers
     part_reporter partReports;
     server_end_check endChecks;
     int knownInstances = 1;               // including this one; the extra repeats are divided by it
