The end of a server counts as evidence although its process takes a while to end

Cause: one report was asked 300 ms long. A server that accepts connections but does not answer gives no result in that time, and a check without a result left no evidence; nobody asked again. The same loss came with an instance whose own threads were late by 100 ms, since its evidence was thrown away whatever the answer was.

Why it works: a check now tells "ended" (refused, reset, another server answers) from "no answer in time", and is repeated for 2 s while there is none. The request itself still waits 300 ms at most before it may be repeated. An answer that shows the end does not depend on how late this instance is, so its own delay no longer matters.

--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -72,8 +72,10 @@
     const char *refuseByParts();
     // Begins to find out whether the server's process ended, unless it had lived on with the request before.
     void checkServer(const stream_attempt &attempt);
-    // Notes the end of the server's process once the check has found it. `self` keeps the flow alive meanwhile.
-    asio::awaitable<void> noteServerEnd(std::shared_ptr<generation_flow> self, server_process process, std::shared_ptr<one_shot<bool>> check);
+    // Notes the end of the server's process once a check has found it; asks again while that is unknown. `self` keeps the flow alive
+    // meanwhile.
+    using ask_process = std::function<server_end_check::pending_state(steady_time until)>;
+    asio::awaitable<void> noteServerEnd(std::shared_ptr<generation_flow> self, server_process process, ask_process ask, server_end_check::pending_state check);
     // Logs what ran at the server, so that the requests of several servers that ended can be compared.
     void logBroken(const stream_attempt &attempt, exchange_status status);
 
@@ -122,7 +124,7 @@
     std::vector<std::string> m_avoided;            // servers that this request avoids; cleared while a stream that has begun waits for a path
     header_list m_headers;                         // of the first attempt's answer
     std::optional<std::uint64_t> m_lastId;         // newest event sent to the client
-    std::shared_ptr<one_shot<bool>> m_serverCheck; // of the last attempt's server; null if there is none in progress
+    server_end_check::pending_state m_serverCheck; // of the last attempt's server; null if there is none in progress
     int m_serversEnded = 0;                        // whose processes ended while they began to answer this request
     milliseconds m_partRetry{0};                   // Retry-After if the parts of the prompt forbid an attempt
     bool m_streamBegan = false;                    // the answer's head was sent to the client
--- a/src/gateway/generation_parts.cpp
+++ b/src/gateway/generation_parts.cpp
@@ -10,7 +10,9 @@
 namespace
 {
 
-constexpr int MAX_SERVERS_ENDED = 2; // a request under which so many servers ended is not repeated
+constexpr int MAX_SERVERS_ENDED = 2;        // a request under which so many servers ended is not repeated
+constexpr milliseconds REPEAT_DELAY{300};   // until a request is repeated without a result of the check
+constexpr milliseconds EVIDENCE_TIME{2000}; // until the end of a process remains unknown; an instance that is late itself learns of it later
 
 }
 
@@ -19,9 +21,9 @@
     if (!m_serverCheck) {
         co_return true;
     }
-    const bool ended = (co_await m_serverCheck->wait()).value_or(false);
+    const auto state = co_await m_serverCheck->wait();
     m_serverCheck.reset();
-    co_return !ended || (m_serversEnded < MAX_SERVERS_ENDED && m_state.quarantine.mayRepeat(m_facts.parts));
+    co_return state != process_state::ended || (m_serversEnded < MAX_SERVERS_ENDED && m_state.quarantine.mayRepeat(m_facts.parts));
 }
 
 const char *generation_flow::refuseByParts()
@@ -48,16 +50,26 @@
 
 void generation_flow::checkServer(const stream_attempt &attempt)
 {
-    m_serverCheck = m_state.endChecks.start(attempt.process, attempt.first().address, m_state.control.fetchReport);
-    spawnLogged(m_state.context, "server_check", noteServerEnd(shared_from_this(), attempt.process, m_serverCheck));
+    const auto ask = [this, process = attempt.process, address = attempt.first().address](steady_time until) {
+        return m_state.endChecks.start(process, address, m_state.control.fetchReport, until);
+    };
+    const steady_time now = std::chrono::steady_clock::now();
+    // The first of the two learns the answer first: what it notes decides whether the request is repeated.
+    spawnLogged(m_state.context, "server_check", noteServerEnd(shared_from_this(), attempt.process, ask, ask(now + EVIDENCE_TIME)));
+    m_serverCheck = ask(now + REPEAT_DELAY);
 }
 
-asio::awaitable<void> generation_flow::noteServerEnd(std::shared_ptr<generation_flow>, server_process process, std::shared_ptr<one_shot<bool>> check)
+asio::awaitable<void> generation_flow::noteServerEnd(std::shared_ptr<generation_flow>, server_process process, ask_process ask,
+                                                     server_end_check::pending_state check)
 {
     const steady_time broken = std::chrono::steady_clock::now();
-    const std::optional<bool> ended = co_await check->wait();
-    m_state.counters.count("server_end_checks", {{"result", !ended ? "none" : *ended ? "ended" : "alive"}});
-    if (!ended.value_or(false) || isOwnDelay(broken + server_end_check::TIMEOUT)) {
+    process_state state = (co_await check->wait()).value_or(process_state::unknown);
+    while (state == process_state::unknown && std::chrono::steady_clock::now() < broken + EVIDENCE_TIME) {
+        check = ask(broken + EVIDENCE_TIME);
+        state = (co_await check->wait()).value_or(process_state::unknown);
+    }
+    m_state.counters.count("server_end_checks", {{"result", toText(state)}});
+    if (state != process_state::ended) {
         co_return;
     }
     ++m_serversEnded;
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -55,6 +55,7 @@
 struct server_report
 {
     bool ok = false;
+    bool timedOut = false; // no answer in time, which says nothing about the server's process
     std::string error;
     bool busy = false;               // an order is in progress
     std::uint64_t orderSequence = 0; // number of orders begun since the server started
--- a/src/gateway/server_end_check.cpp
+++ b/src/gateway/server_end_check.cpp
@@ -5,22 +5,41 @@
 namespace chestnut
 {
 
-std::shared_ptr<one_shot<bool>> server_end_check::start(const server_process &process, const std::string &address, const fetch_report &fetch)
+namespace
 {
-    const auto ended = std::make_shared<one_shot<bool>>(m_context, std::chrono::steady_clock::now() + TIMEOUT);
-    std::vector<std::shared_ptr<one_shot<bool>>> &waiting = m_waiting[process];
-    waiting.push_back(ended);
+
+process_state stateFrom(const server_report &report)
+{
+    if (report.ok) {
+        return process_state::alive;
+    }
+    return report.timedOut ? process_state::unknown : process_state::ended;
+}
+
+}
+
+const char *toText(process_state state)
+{
+    static constexpr const char *NAMES[] = {"alive", "ended", "unknown"};
+    return NAMES[static_cast<int>(state)];
+}
+
+server_end_check::pending_state server_end_check::start(const server_process &process, const std::string &address, const fetch_report &fetch, steady_time until)
+{
+    const auto state = std::make_shared<one_shot<process_state>>(m_context, until);
+    std::vector<pending_state> &waiting = m_waiting[process];
+    waiting.push_back(state);
     if (waiting.size() > 1) {
-        return ended;
+        return state;
     }
     fetch(address, process.server, [this, process](const server_report &report) {
         const auto asked = std::exchange(m_waiting[process], {});
         m_waiting.erase(process);
-        for (const auto &one : asked) {
-            one->set(!report.ok);
+        for (const pending_state &one : asked) {
+            one->set(stateFrom(report));
         }
     });
-    return ended;
+    return state;
 }
 
 }
--- a/src/gateway/server_end_check.h
+++ b/src/gateway/server_end_check.h
@@ -13,23 +13,32 @@
 
 namespace asio = boost::asio;
 
+enum class process_state
+{
+    alive,
+    ended,
+    unknown, // no answer in time
+};
+
+const char *toText(process_state state);
+
 class server_end_check
 {
 public:
     using fetch_report = std::function<void(const std::string &address, const server_id &server, std::function<void(server_report)> done)>;
-    // Time until a check ends without result.
-    static constexpr milliseconds TIMEOUT{300};
+    using pending_state = std::shared_ptr<one_shot<process_state>>;
 
     explicit server_end_check(asio::io_context &context)
         : m_context(context)
     {
     }
-    // Asks the server for a report. Checks of one process at the same time share one question.
-    std::shared_ptr<one_shot<bool>> start(const server_process &process, const std::string &address, const fetch_report &fetch);
+    // Asks the server for a report. Checks of one process at the same time share one question, and learn its answer in the order in which
+    // they were started. The result is empty at `until` if there is no answer by then.
+    pending_state start(const server_process &process, const std::string &address, const fetch_report &fetch, steady_time until);
 
 private:
     asio::io_context &m_context;
-    std::map<server_process, std::vector<std::shared_ptr<one_shot<bool>>>> m_waiting; // for the result "the process has ended"
+    std::map<server_process, std::vector<pending_state>> m_waiting;
 };
 
 }
--- a/tests/gateway_crashing_part_test.cpp
+++ b/tests/gateway_crashing_part_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <mutex>
+#include <set>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -38,8 +39,11 @@
 class crashing_fleet
 {
 public:
-    explicit crashing_fleet(deployment &site)
+    // A server resets the connections of its requests `dying` before its process ends. Meanwhile it accepts connections, as the system
+    // does for a process that writes its core dump, but answers nothing.
+    explicit crashing_fleet(deployment &site, milliseconds dying = milliseconds(0))
         : m_site(site)
+        , m_dying(dying)
     {
         for (int number = 0; number < SERVERS; ++number) {
             add();
@@ -93,15 +97,22 @@
 
     bool serve(raw_connection &out, const raw_request &in, scripted_server *self)
     {
+        if (isDying(self)) {
+            return !out.waitForClose(static_cast<int>(m_dying.count()));
+        }
         if (in.target() == "/report") {
             out.write(report(in));
             return true;
         }
         const int first = firstEventOf(in);
         if (crashes(in)) {
-            noteArrival();
+            noteArrival(self);
             out.write(streamHead(in) + events(first, first));
             out.waitForClose(static_cast<int>(CRASH_DELAY.count()));
+            if (m_dying.count() > 0) {
+                out.reset();
+                eventually([] { return false; }, m_dying);
+            }
             self->end();
             return false;
         }
@@ -114,15 +125,26 @@
         return true;
     }
 
-    void noteArrival()
+    void noteArrival(const scripted_server *server)
     {
         const std::lock_guard lock(m_mutex);
         m_arrivals.push_back(std::chrono::steady_clock::now());
+        if (m_dying.count() > 0) {
+            m_dyingServers.insert(server);
+        }
+    }
+
+    bool isDying(const scripted_server *server) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_dyingServers.contains(server);
     }
 
     deployment &m_site;
-    mutable std::mutex m_mutex; // guards m_arrivals
+    milliseconds m_dying;
+    mutable std::mutex m_mutex; // guards the next two members
     std::vector<steady_time> m_arrivals;
+    std::set<const scripted_server *> m_dyingServers;
     std::vector<member> m_members;
 };
 
@@ -249,6 +271,23 @@
     CHECK(after.soundShare(started) >= 0.5);
 }
 
+TEST_CASE("servers whose processes take a while to end count as evidence against a part", "[failure]")
+{
+    constexpr int REQUESTS = 12;
+    constexpr milliseconds DYING_TIME{700};
+    deployment site;
+    crashing_fleet fleet(site, DYING_TIME);
+    site.start();
+    for (int number = 0; number < REQUESTS; ++number) {
+        raw_client client(site.front());
+        client.write(makeRequest("/single/", "id" + std::to_string(number), partsHeader(FIRST_PART + CRASHING_PART, number)));
+        eventually([] { return false; }, CRASH_DELAY + DYING_TIME * 2); // until the server has ended and is back
+        fleet.replaceEnded();
+    }
+    CHECK(fleet.arrivals().size() >= 3);
+    CHECK(fleet.arrivals().size() <= ENDS_UNTIL_KNOWN + MOST_LATER_ARRIVALS);
+}
+
 TEST_CASE("an operator sees a quarantined part and releases it at all instances", "[failure]")
 {
     const std::string part = "lm/" + CRASHING_PART.substr(0, CRASHING_PART.find(':'));
