Instances pass new configurations to each other instead of all reading them from the store

Cause, as far as shown: each instance that heard of a newer version read the store at once, all records since its last read, and decoded each of them. All reads of the store share one bandwidth (80 MB/s there), so 195 instances that each read versions of 200 kB and more wait for each other, the longer the larger and the more frequent the versions.

A relay's members get it in their next exchange; the receiver's position in the log moves on, so it does not read the versions between either.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -69,7 +69,7 @@
 update_position toUpdatePosition(const wire::gateway_state &message)
 {
     return {message.config_version(),
-            {message.config_epoch()},
+            {{message.config_epoch()}, message.config_offset()},
             {{message.fleet_epoch()}, message.fleet_offset()},
             {{message.member_epoch()}, message.member_offset()},
             message.wants_config()};
@@ -243,7 +243,8 @@
     message->set_address(m_settings.address);
     const update_position position = m_handler.position();
     message->set_config_version(position.configVersion);
-    message->set_config_epoch(position.configEpoch.number);
+    message->set_config_epoch(position.config.epoch.number);
+    message->set_config_offset(position.config.offset);
     message->set_fleet_epoch(position.fleet.epoch.number);
     message->set_fleet_offset(position.fleet.offset);
     message->set_member_epoch(position.members.epoch.number);
@@ -258,7 +259,7 @@
     message->set_lease_holder(known.lease.newest.holder);
     message->set_lease_holder_epoch(known.lease.newest.epoch.number);
     fillEvidence(message->mutable_evidence(), receiver);
-    const bool config = since.wantsConfig && position.configVersion > since.configVersion;
+    const bool config = position.configVersion > since.configVersion && (since.wantsConfig || position.config > since.config);
     if (config || position.fleet > since.fleet || position.members > since.members) {
         message->set_news(m_handler.exportUpdates(since));
     }
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -22,7 +22,7 @@
 struct update_position
 {
     std::uint64_t configVersion = 0;
-    store_epoch configEpoch; // in which the configuration was last read from the store
+    log_position config;
     log_position fleet;
     log_position members;
     bool wantsConfig = false; // cannot read the configuration from the platform itself
