A server that falls silent for a second keeps its layers

What callers saw: a sound server that is silent for some 1.1 s and more counted as lost, and the coordinator ordered its neighbours to load its layers. The loads take weights' bandwidth, and the neighbours' memory for requests, from all callers, for a server that goes on a moment later.

Cause: the coordinator counted 0.7 s from the first failure that any instance saw, whether the server's process had ended or not.

Why it works: core/lost_servers decides. The coordinator asks a faulty server for a report; refused or reset means that its process has ended, and it counts as lost after 0.7 s as before. One that does not answer may only be silent and counts as lost after 1.6 s from the first failure, beyond any silence of a sound server. Price: the layers of a server that vanishes without a reset are repaired 0.9 s later.

--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -163,4 +163,10 @@
     return NAMES[static_cast<int>(kind)];
 }
 
+const char *toText(process_state state)
+{
+    static constexpr const char *NAMES[] = {"alive", "ended", "unknown"};
+    return NAMES[static_cast<int>(state)];
+}
+
 }
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -22,6 +22,14 @@
     error,       // the server answered with an error
 };
 
+// Whether a server's process still runs, as an answer to a question shows.
+enum class process_state
+{
+    alive,
+    ended,
+    unknown, // no answer in time
+};
+
 // What one instance knows of one server.
 struct server_state
 {
@@ -88,5 +96,6 @@
 };
 
 const char *toText(failure_kind kind);
+const char *toText(process_state state);
 
 }
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -19,7 +19,6 @@
 constexpr milliseconds LEASE_CHECK_INTERVAL{250};         // between two checks of that age
 constexpr milliseconds TICK_INTERVAL{250};
 constexpr milliseconds PENDING_ORDER_TTL{15'000};       // an order that the server received late has taken effect by then
-constexpr milliseconds SERVER_LOST_TIMEOUT{700};        // a server unreachable for this long counts as lost; other servers cover its layers
 constexpr milliseconds GAP_GRACE_PERIOD{5000};          // a crashed server has usually restarted by then
 constexpr milliseconds ORDER_RETRY_DELAY{3000};         // after an order that was not sent or not confirmed as begun
 constexpr milliseconds REBALANCE_QUIET_PERIOD{2500};    // crashed servers return empty within seconds; placing them takes no KV capacity from others
@@ -159,6 +158,7 @@
     }
     if (coordinator && m_config && m_fleet && now - m_fleetChanged >= (mostlyEmpty() ? FLEET_STARTUP_SETTLE_TIME : NEW_SERVER_SETTLE_TIME)) {
         forgetSettledOrders(now);
+        checkFaultyServers(now);
         for (const auto &[id, service] : m_config->services) {
             if (service.engine && service.engine->layers > 0) {
                 planAndSendOrders(service, now);
@@ -202,8 +202,8 @@
         }
         const auto pending = m_pending.find(id);
         const bool changing = pending != m_pending.end();
-        servers.push_back(
-            {id, server.domain, server.accelerator, changing ? pending->second.range : server.held, isLost(server.address, now), changing, server.slots});
+        servers.push_back({id, server.domain, server.accelerator, changing ? pending->second.range : server.held, m_lost.isLost(server.address, now), changing,
+                           server.slots});
     }
     std::vector<layer_assignment> plan = planPlacement(*service.engine, servers, {});
     if (plan.empty()) {
@@ -260,16 +260,15 @@
     return {};
 }
 
-void control_plane::setFaultyServers(std::map<std::string, steady_time> faultySince)
+void control_plane::checkFaultyServers(steady_time now)
 {
-    m_faultySince = std::move(faultySince);
-}
-
-// True if the server has been unreachable for so long that it counts as lost, although its entry has not expired yet.
-bool control_plane::isLost(const std::string &address, steady_time now) const
-{
-    const auto since = m_faultySince.find(address);
-    return since != m_faultySince.end() && now - since->second >= SERVER_LOST_TIMEOUT;
+    for (const std::string &address : m_lost.takeDueChecks(now)) {
+        const auto server = std::find_if(m_fleet->servers.begin(), m_fleet->servers.end(), [&](const auto &entry) { return entry.second.address == address; });
+        if (server == m_fleet->servers.end()) {
+            continue;
+        }
+        m_port.fetchReport(address, server->first, [this, address](const server_report &report) { m_lost.noteState(address, report.processState()); });
+    }
 }
 
 // Reads the server's state first: an order carries the number of orders that the server must have begun, so that a delayed
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -5,6 +5,7 @@
 
 #include "core/coordinator_lease.h"
 #include "core/layer_placement.h"
+#include "core/lost_servers.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_port.h"
 
@@ -40,8 +41,11 @@
     {
         m_rank = rank;
     }
-    // Replaces the set of unreachable or stalled servers: address -> time of the first failure. Control thread only.
-    void setFaultyServers(std::map<std::string, steady_time> faultySince);
+    // Replaces the set of unreachable or silent servers: address -> time of the first failure. Control thread only.
+    void setFaultyServers(std::map<std::string, steady_time> faultySince)
+    {
+        m_lost.setFaulty(std::move(faultySince));
+    }
 
 private:
     // An order that the server's registered entry does not reflect yet.
@@ -63,7 +67,8 @@
     void sendOrder(const listed_server &server, layer_range range, std::uint64_t sequence);
     void forgetSettledOrders(steady_time now);
     bool mostlyEmpty() const;
-    bool isLost(const std::string &address, steady_time now) const;
+    // Asks unreachable and silent servers whether their processes live on.
+    void checkFaultyServers(steady_time now);
 
     event_loop &m_loop;
     platform_port &m_port;
@@ -79,8 +84,8 @@
     steady_time m_fleetChanged{}; // when the number of servers last changed
     steady_time m_lastOrder{};    // when the last layer order was planned
     std::map<server_id, pending_order> m_pending;
-    std::map<domain_id, steady_time> m_gapSince;      // failure domains that hold only part of the layers -> since when
-    std::map<std::string, steady_time> m_faultySince; // address -> first failure
+    std::map<domain_id, steady_time> m_gapSince; // failure domains that hold only part of the layers -> since when
+    lost_servers m_lost;
 };
 
 }
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -4,6 +4,7 @@
 // itself as a plug-in; no code that uses this interface contains names of the platform's protocol.
 
 #include "core/gateway_types.h"
+#include "core/server_health.h"
 #include "kernel/event_loop.h"
 #include "kernel/metrics.h"
 #include "mesh/mesh_node.h"
@@ -61,6 +62,15 @@
     std::uint64_t orderSequence = 0; // number of orders begun since the server started
     layer_range held;
     std::map<std::string, std::string> stalledRequests; // request id -> address of the stage it waits for
+
+    // Whether the process that was asked still runs.
+    process_state processState() const
+    {
+        if (ok) {
+            return process_state::alive;
+        }
+        return timedOut ? process_state::unknown : process_state::ended;
+    }
 };
 
 enum class order_outcome
--- a/src/gateway/server_end_check.cpp
+++ b/src/gateway/server_end_check.cpp
@@ -5,25 +5,6 @@
 namespace chestnut
 {
 
-namespace
-{
-
-process_state stateFrom(const server_report &report)
-{
-    if (report.ok) {
-        return process_state::alive;
-    }
-    return report.timedOut ? process_state::unknown : process_state::ended;
-}
-
-}
-
-const char *toText(process_state state)
-{
-    static constexpr const char *NAMES[] = {"alive", "ended", "unknown"};
-    return NAMES[static_cast<int>(state)];
-}
-
 server_end_check::pending_state server_end_check::start(const server_process &process, const std::string &address, const fetch_report &fetch, steady_time until)
 {
     const auto state = std::make_shared<one_shot<process_state>>(m_context, until);
@@ -36,7 +17,7 @@
         const auto asked = std::exchange(m_waiting[process], {});
         m_waiting.erase(process);
         for (const pending_state &one : asked) {
-            one->set(stateFrom(report));
+            one->set(report.processState());
         }
     });
     return state;
--- a/src/gateway/server_end_check.h
+++ b/src/gateway/server_end_check.h
@@ -13,15 +13,6 @@
 
 namespace asio = boost::asio;
 
-enum class process_state
-{
-    alive,
-    ended,
-    unknown, // no answer in time
-};
-
-const char *toText(process_state state);
-
 class server_end_check
 {
 public:
--- /dev/null
+++ b/tests/lost_servers_test.cpp
@@ -0,0 +1,53 @@
+// Tests when a server that requests found unreachable or silent counts as lost.
+
+#include "core/lost_servers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chestnut;
+
+namespace
+{
+
+const steady_time START{std::chrono::hours(1)};
+const std::string SERVER = "10.0.0.1:80";
+
+}
+
+TEST_CASE("a server whose process has ended counts as lost sooner than a silent one", "[unit]")
+{
+    const auto state = GENERATE(process_state::alive, process_state::ended, process_state::unknown);
+    lost_servers lost;
+    lost.setFaulty({{SERVER, START}});
+    CHECK(lost.takeDueChecks(START) == std::vector<std::string>{SERVER});
+    lost.noteState(SERVER, state);
+    const milliseconds limit = state == process_state::ended ? lost_servers::ENDED_TIMEOUT : lost_servers::SILENCE_LIMIT;
+    CHECK_FALSE(lost.isLost(SERVER, START + limit - milliseconds(1)));
+    CHECK(lost.isLost(SERVER, START + limit));
+    CHECK_FALSE(lost.isLost("10.0.0.2:80", START + limit));
+}
+
+TEST_CASE("a server that responds again is not lost, and a later failure counts anew", "[unit]")
+{
+    lost_servers lost;
+    lost.setFaulty({{SERVER, START}});
+    lost.takeDueChecks(START);
+    lost.noteState(SERVER, process_state::ended);
+    lost.setFaulty({});
+    CHECK_FALSE(lost.isLost(SERVER, START + seconds(10)));
+    lost.setFaulty({{SERVER, START + seconds(5)}});
+    CHECK_FALSE(lost.isLost(SERVER, START + seconds(5) + lost_servers::ENDED_TIMEOUT));
+}
+
+TEST_CASE("a faulty server is asked now and then until it counts as lost", "[unit]")
+{
+    lost_servers lost;
+    lost.setFaulty({{SERVER, START}});
+    int asked = 0;
+    for (milliseconds at{0}; at < milliseconds(10'000); at += milliseconds(250)) {
+        asked += static_cast<int>(lost.takeDueChecks(START + at).size());
+    }
+    CHECK(asked == lost_servers::SILENCE_LIMIT / lost_servers::CHECK_INTERVAL + 1);
+    lost.noteState("10.0.0.2:80", process_state::ended); // of a server that is no longer faulty
+    CHECK_FALSE(lost.isLost("10.0.0.2:80", START + seconds(10)));
+}
