--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -77,6 +77,10 @@
     bool leaving(const std::string &address) const;
     // Rest of the server's quiet period, 0 = none.
     milliseconds quietLeft(const std::string &address, steady_time now) const;
+    bool isQuiet(const std::string &address, steady_time now) const
+    {
+        return quietLeft(address, now).count() > 0;
+    }
     // Remaining time for which this instance avoids the server because of its own failures; 0 = none.
     milliseconds ownBackoff(const std::string &address, steady_time now) const;
     const std::unordered_map<std::string, server_state> &all() const
--- a/src/gateway/generation_stalls.cpp
+++ b/src/gateway/generation_stalls.cpp
@@ -45,7 +45,7 @@
             co_return;
         }
     }
-    if (m_state.health.quietLeft(first.address, now).count() > 0) { // it must not be asked either
+    if (m_state.health.isQuiet(first.address, now)) { // it must not be asked either
         noteEmptyInquiry(attempt, attempt_end::silent);
         co_return;
     }
@@ -89,7 +89,7 @@
     const steady_time lastData = attempt->lastData;
     for (int tries = 0; tries < MAX_REPATHS; ++tries) {
         const auto path = pathAround(*attempt, lostAddress);
-        const bool quiet = m_state.health.quietLeft(attempt->first().address, std::chrono::steady_clock::now()).count() > 0;
+        const bool quiet = m_state.health.isQuiet(attempt->first().address, std::chrono::steady_clock::now());
         if (!path || quiet) {
             const char *reason = quiet ? "the first server asked for a quiet period" : "no replacement";
             logLine(log_level::info, "stream_not_moved", {{"request", m_facts.id}, {"lost", lostAddress}, {"reason", reason}});
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -142,7 +142,7 @@
     std::vector<rated> avoided;
     for (const auto &[id, server] : fleet->servers) {
         const bool excluded = server.service != service || isLeaving(server) || containsAddress(tried, server.address);
-        if (excluded || health.quietLeft(server.address, now).count() > 0) {
+        if (excluded || health.isQuiet(server.address, now)) {
             continue;
         }
         const server_state &seen = health.of(server.address);
@@ -185,7 +185,7 @@
     for (const auto &[id, server] : fleet->servers) {
         const auto kind = engine.kinds.find(server.accelerator);
         const bool excluded = server.service != service.id || isLeaving(server) || kind == engine.kinds.end() || server.held.count() <= 0;
-        const bool avoided = health.avoided(server.address, now) || health.quietLeft(server.address, now).count() > 0;
+        const bool avoided = health.avoided(server.address, now) || health.isQuiet(server.address, now);
         if (excluded || avoided || containsAddress(avoid, server.address)) {
             continue;
         }
