A server that accepts no connection counts as lost as soon as one that has ended

What callers saw: since servers that may only be silent count as lost after 1.6 s, the layers of a server that vanishes without a reset were repaired 0.9 s later.

Cause: a report that times out counted as silence. But the machine of a silent process still accepts connections: only where none is accepted in time is it gone or cut off.

Why it works: the answer to a question now tells "unreachable" (no connection) from "silent" (a connection, no answer). The first counts as lost after 0.7 s like a server whose process has ended, the second after 1.6 s. For the evidence about prompts both leave it open whether the process has ended, and it is asked again.

--- a/src/core/lost_servers.cpp
+++ b/src/core/lost_servers.cpp
@@ -30,7 +30,7 @@
 {
     const auto found = m_faulty.find(address);
     if (found != m_faulty.end()) {
-        found->second.hasEnded = state == process_state::ended;
+        found->second.gone = state == process_state::ended || state == process_state::unreachable;
     }
 }
 
@@ -40,7 +40,7 @@
     if (found == m_faulty.end()) {
         return false;
     }
-    return now - found->second.since >= (found->second.hasEnded ? ENDED_TIMEOUT : SILENCE_LIMIT);
+    return now - found->second.since >= (found->second.gone ? GONE_TIMEOUT : SILENCE_LIMIT);
 }
 
 }
--- a/src/core/lost_servers.h
+++ b/src/core/lost_servers.h
@@ -2,8 +2,8 @@
 
 // Decides when a server that requests found unreachable or silent counts as lost, so that other servers take over its layers.
 //
-// Designed for servers that fall silent for a second and go on, beside servers whose processes end: moving layers costs loads and memory
-// for requests, so the first must not be mistaken for the second.
+// Designed for servers that fall silent for a second and go on, beside servers that end or vanish: moving layers costs loads and memory for
+// requests, so the first must not be mistaken for the others. The machine of a silent process still accepts connections.
 
 #include "core/server_health.h"
 
@@ -17,13 +17,13 @@
 class lost_servers
 {
 public:
-    static constexpr milliseconds ENDED_TIMEOUT{700};  // a server whose process has ended counts as lost after this time
-    static constexpr milliseconds SILENCE_LIMIT{1600}; // one that may only be silent does after this time
+    static constexpr milliseconds GONE_TIMEOUT{700};   // a server that has ended or is unreachable counts as lost after this time
+    static constexpr milliseconds SILENCE_LIMIT{1600}; // one that is perhaps only silent does after this time
     static constexpr milliseconds CHECK_INTERVAL{500}; // between two questions to the same server
 
     // Replaces the set of servers that are unreachable or silent: address -> time of the first failure.
     void setFaulty(std::map<std::string, steady_time> faultySince);
-    // Addresses of the servers that are to be asked now whether their process lives on. Each counts as asked.
+    // Addresses of the servers that are to be asked now whether they are still there. Each counts as asked.
     std::vector<std::string> takeDueChecks(steady_time now);
     // Answer of a server that was asked.
     void noteState(const std::string &address, process_state state);
@@ -34,7 +34,7 @@
     {
         steady_time since{};   // first failure
         steady_time nextAsk{}; // not asked before this time
-        bool hasEnded = false; // its process, by the last answer
+        bool gone = false;     // ended or unreachable, by the last answer
     };
     std::map<std::string, faulty_server> m_faulty; // by address
 };
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -165,7 +165,7 @@
 
 const char *toText(process_state state)
 {
-    static constexpr const char *NAMES[] = {"alive", "ended", "unknown"};
+    static constexpr const char *NAMES[] = {"alive", "ended", "unreachable", "silent"};
     return NAMES[static_cast<int>(state)];
 }
 
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -22,12 +22,13 @@
     error,       // the server answered with an error
 };
 
-// Whether a server's process still runs, as an answer to a question shows.
+// What a question to a server shows of its process.
 enum class process_state
 {
     alive,
-    ended,
-    unknown, // no answer in time
+    ended,       // nothing or another process serves at its address
+    unreachable, // no connection in time: its machine is gone, or cut off
+    silent,      // a connection, but no answer in time
 };
 
 // What one instance knows of one server.
--- a/src/gateway/generation_parts.cpp
+++ b/src/gateway/generation_parts.cpp
@@ -63,10 +63,10 @@
                                                      server_end_check::pending_state check)
 {
     const steady_time broken = std::chrono::steady_clock::now();
-    process_state state = (co_await check->wait()).value_or(process_state::unknown);
-    while (state == process_state::unknown && std::chrono::steady_clock::now() < broken + EVIDENCE_TIME) {
+    process_state state = (co_await check->wait()).value_or(process_state::silent);
+    while (state != process_state::alive && state != process_state::ended && std::chrono::steady_clock::now() < broken + EVIDENCE_TIME) {
         check = ask(broken + EVIDENCE_TIME);
-        state = (co_await check->wait()).value_or(process_state::unknown);
+        state = (co_await check->wait()).value_or(process_state::silent);
     }
     m_state.counters.count("server_end_checks", {{"result", toText(state)}});
     if (state != process_state::ended) {
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -56,7 +56,8 @@
 struct server_report
 {
     bool ok = false;
-    bool timedOut = false; // no answer in time, which says nothing about the server's process
+    bool connected = false; // the server accepted the connection
+    bool timedOut = false;  // no answer in time, which says nothing about the server's process
     std::string error;
     bool busy = false;               // an order is in progress
     std::uint64_t orderSequence = 0; // number of orders begun since the server started
@@ -69,7 +70,10 @@
         if (ok) {
             return process_state::alive;
         }
-        return timedOut ? process_state::unknown : process_state::ended;
+        if (!timedOut) {
+            return process_state::ended;
+        }
+        return connected ? process_state::silent : process_state::unreachable;
     }
 };
 
--- a/tests/lost_servers_test.cpp
+++ b/tests/lost_servers_test.cpp
@@ -14,14 +14,15 @@
 
 }
 
-TEST_CASE("a server whose process has ended counts as lost sooner than a silent one", "[unit]")
+TEST_CASE("a server that has ended or vanished counts as lost sooner than a silent one", "[unit]")
 {
-    const auto state = GENERATE(process_state::alive, process_state::ended, process_state::unknown);
+    const auto state = GENERATE(process_state::alive, process_state::ended, process_state::unreachable, process_state::silent);
     lost_servers lost;
     lost.setFaulty({{SERVER, START}});
     CHECK(lost.takeDueChecks(START) == std::vector<std::string>{SERVER});
     lost.noteState(SERVER, state);
-    const milliseconds limit = state == process_state::ended ? lost_servers::ENDED_TIMEOUT : lost_servers::SILENCE_LIMIT;
+    const bool gone = state == process_state::ended || state == process_state::unreachable;
+    const milliseconds limit = gone ? lost_servers::GONE_TIMEOUT : lost_servers::SILENCE_LIMIT;
     CHECK_FALSE(lost.isLost(SERVER, START + limit - milliseconds(1)));
     CHECK(lost.isLost(SERVER, START + limit));
     CHECK_FALSE(lost.isLost("10.0.0.2:80", START + limit));
@@ -36,7 +37,7 @@
     lost.setFaulty({});
     CHECK_FALSE(lost.isLost(SERVER, START + seconds(10)));
     lost.setFaulty({{SERVER, START + seconds(5)}});
-    CHECK_FALSE(lost.isLost(SERVER, START + seconds(5) + lost_servers::ENDED_TIMEOUT));
+    CHECK_FALSE(lost.isLost(SERVER, START + seconds(5) + lost_servers::GONE_TIMEOUT));
 }
 
 TEST_CASE("a faulty server is asked now and then until it counts as lost", "[unit]")
