A server that refuses connections counts as ended although its streams' connections stay open

What callers saw: a server that ends under a prompt, but whose connections break only seconds later or never, left evidence only then.

Cause: evidence came from broken connections only. But a stream without data is asked for a report after 150 to 350 ms, and the refusal of that shows the end at once; it was taken for silence.

Why it works: when the report of a stalled attempt is refused or answered by another process, and that attempt's server had not lived on with the request, the end is noted there. Processes that ended under a request are a set, so that the later break counts no second time.

--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -7,6 +7,8 @@
 #include "gateway/request_flow.h"
 #include "gateway/stream_attempt.h"
 
+#include <set>
+
 namespace chestnut
 {
 
@@ -76,6 +78,8 @@
     // meanwhile.
     using ask_process = std::function<server_end_check::pending_state(steady_time until)>;
     asio::awaitable<void> noteServerEnd(std::shared_ptr<generation_flow> self, server_process process, ask_process ask, server_end_check::pending_state check);
+    // A server's process ended while it began to answer this request.
+    void noteEnded(const server_process &process, steady_time at);
     // Logs what ran at the server, so that the requests of several servers that ended can be compared.
     void logBroken(const stream_attempt &attempt, exchange_status status);
 
@@ -125,7 +129,7 @@
     header_list m_headers;                         // of the first attempt's answer
     std::optional<std::uint64_t> m_lastId;         // newest event sent to the client
     server_end_check::pending_state m_serverCheck; // of the last attempt's server; null if there is none in progress
-    int m_serversEnded = 0;                        // whose processes ended while they began to answer this request
+    std::set<server_process> m_serversEnded;       // processes that ended while they began to answer this request
     milliseconds m_partRetry{0};                   // Retry-After if the parts of the prompt forbid an attempt
     bool m_streamBegan = false;                    // the answer's head was sent to the client
     steady_time m_lastEvent{};                     // when the last event was forwarded
--- a/src/gateway/generation_parts.cpp
+++ b/src/gateway/generation_parts.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-constexpr int MAX_SERVERS_ENDED = 2;        // a request under which so many servers ended is not repeated
-constexpr milliseconds REPEAT_DELAY{300};   // until a request is repeated without a result of the check
-constexpr milliseconds EVIDENCE_TIME{2000}; // until the end of a process remains unknown; an instance that is late itself learns of it later
+constexpr std::size_t MAX_SERVERS_ENDED = 2; // a request under which so many servers ended is not repeated
+constexpr milliseconds REPEAT_DELAY{300};    // until a request is repeated without a result of the check
+constexpr milliseconds EVIDENCE_TIME{2000};  // until it stays open whether a process has ended
 
 }
 
@@ -23,7 +23,7 @@
     }
     const auto state = co_await m_serverCheck->wait();
     m_serverCheck.reset();
-    co_return state != process_state::ended || (m_serversEnded < MAX_SERVERS_ENDED && m_state.quarantine.mayRepeat(m_facts.parts));
+    co_return state != process_state::ended || (m_serversEnded.size() < MAX_SERVERS_ENDED && m_state.quarantine.mayRepeat(m_facts.parts));
 }
 
 const char *generation_flow::refuseByParts()
@@ -69,11 +69,15 @@
         state = (co_await check->wait()).value_or(process_state::silent);
     }
     m_state.counters.count("server_end_checks", {{"result", toText(state)}});
-    if (state != process_state::ended) {
-        co_return;
+    if (state == process_state::ended) {
+        noteEnded(process, broken);
     }
-    ++m_serversEnded;
-    m_state.quarantine.noteEnd({process, broken, m_facts.parts});
+}
+
+void generation_flow::noteEnded(const server_process &process, steady_time at)
+{
+    m_serversEnded.insert(process);
+    m_state.quarantine.noteEnd({process, at, m_facts.parts});
     m_state.partReports.report();
 }
 
--- a/src/gateway/generation_stalls.cpp
+++ b/src/gateway/generation_stalls.cpp
@@ -62,6 +62,10 @@
         co_return;
     }
     if (!reported) {
+        // Its connections may break only later, or not at all.
+        if (report && report->processState() == process_state::ended && attempt->exposure && attempt->exposure->open()) {
+            noteEnded(attempt->process, now);
+        }
         avoid(first.address, failure_kind::silent);
         noteEmptyInquiry(attempt, attempt_end::silent);
         co_return;
--- a/tests/gateway_crashing_part_test.cpp
+++ b/tests/gateway_crashing_part_test.cpp
@@ -35,14 +35,21 @@
     return request.header("X-Chestnutgw-Prefix-Hash").find(CRASHING_PART) != std::string::npos;
 }
 
+// How a server ends.
+enum class ending
+{
+    at_once,
+    resets_first, // resets its requests' connections, accepts further ones for a while, as for a process that writes its core dump
+    silent,       // refuses connections; those of its requests stay open for a while
+};
+
 // Servers that each hold all layers, end by requests with the crashing part and are replaced by new processes.
 class crashing_fleet
 {
 public:
-    // A server resets the connections of its requests `dying` before its process ends. Meanwhile it accepts connections, as the system
-    // does for a process that writes its core dump, but answers nothing.
-    explicit crashing_fleet(deployment &site, milliseconds dying = milliseconds(0))
+    explicit crashing_fleet(deployment &site, ending manner = ending::at_once, milliseconds dying = milliseconds(0))
         : m_site(site)
+        , m_manner(manner)
         , m_dying(dying)
     {
         for (int number = 0; number < SERVERS; ++number) {
@@ -55,7 +62,7 @@
     {
         const steady_time now = std::chrono::steady_clock::now();
         for (member &one : m_members) {
-            if (!one.server->ended() || one.replaced) {
+            if (!one.server->refuses() || one.replaced) {
                 continue;
             }
             one.endSeen = one.endSeen == steady_time() ? now : one.endSeen;
@@ -109,10 +116,12 @@
             noteArrival(self);
             out.write(streamHead(in) + events(first, first));
             out.waitForClose(static_cast<int>(CRASH_DELAY.count()));
-            if (m_dying.count() > 0) {
+            if (m_manner == ending::resets_first) {
                 out.reset();
-                eventually([] { return false; }, m_dying);
+            } else if (m_manner == ending::silent) {
+                self->refuseConnections();
             }
+            eventually([] { return false; }, m_dying);
             self->end();
             return false;
         }
@@ -129,7 +138,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_arrivals.push_back(std::chrono::steady_clock::now());
-        if (m_dying.count() > 0) {
+        if (m_manner == ending::resets_first) {
             m_dyingServers.insert(server);
         }
     }
@@ -141,7 +150,8 @@
     }
 
     deployment &m_site;
-    milliseconds m_dying;
+    ending m_manner;
+    milliseconds m_dying;       // from the crash until all connections end
     mutable std::mutex m_mutex; // guards the next two members
     std::vector<steady_time> m_arrivals;
     std::set<const scripted_server *> m_dyingServers;
@@ -271,17 +281,21 @@
     CHECK(after.soundShare(started) >= 0.5);
 }
 
-TEST_CASE("servers whose processes take a while to end count as evidence against a part", "[failure]")
+TEST_CASE("servers that take a while to end count as evidence against a part", "[failure]")
 {
     constexpr int REQUESTS = 12;
-    constexpr milliseconds DYING_TIME{700};
+    const ending manner = GENERATE(ending::resets_first, ending::silent);
+    const milliseconds dying = manner == ending::silent ? milliseconds(6000) : milliseconds(700);
+    const milliseconds interval = manner == ending::silent ? milliseconds(600) : CRASH_DELAY + dying * 2;
+    CAPTURE(static_cast<int>(manner));
     deployment site;
-    crashing_fleet fleet(site, DYING_TIME);
+    crashing_fleet fleet(site, manner, dying);
     site.start();
+    std::vector<std::unique_ptr<raw_client>> clients;
     for (int number = 0; number < REQUESTS; ++number) {
-        raw_client client(site.front());
-        client.write(makeRequest("/single/", "id" + std::to_string(number), partsHeader(FIRST_PART + CRASHING_PART, number)));
-        eventually([] { return false; }, CRASH_DELAY + DYING_TIME * 2); // until the server has ended and is back
+        clients.push_back(std::make_unique<raw_client>(site.front()));
+        clients.back()->write(makeRequest("/single/", "id" + std::to_string(number), partsHeader(FIRST_PART + CRASHING_PART, number)));
+        eventually([] { return false; }, interval);
         fleet.replaceEnded();
     }
     CHECK(fleet.arrivals().size() >= 3);
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -169,8 +169,15 @@
     }
 }
 
+void scripted_server::refuseConnections()
+{
+    m_refusing = true;
+    ::shutdown(m_listener.get(), SHUT_RDWR);
+}
+
 void scripted_server::end()
 {
+    m_refusing = true;
     m_stopping = true;
     ::shutdown(m_listener.get(), SHUT_RDWR);
     const std::lock_guard lock(m_mutex);
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -61,6 +61,12 @@
     scripted_server &operator=(const scripted_server &) = delete;
 
     std::string address() const;
+    // Refuses new connections from now on; open ones stay. May be called by its script.
+    void refuseConnections();
+    bool refuses() const
+    {
+        return m_refusing;
+    }
     // Ends the server as if its process had: its connections are closed and new ones refused. May be called by its script.
     void end();
     bool ended() const
@@ -78,6 +84,7 @@
     server_script m_script;
     unique_fd m_listener;
     int m_port = 0;
+    std::atomic<bool> m_refusing = false; // new connections
     std::atomic<bool> m_stopping = false;
     mutable std::mutex m_mutex; // guards m_requests, m_connections and m_workers
     std::vector<raw_request> m_requests;
