Soak: links between the parties, answers in other manners, a store that reads slowly or drops its history; tests of silences

Proxies on loopback (tests/soak/link) stand between clients and gateways, gateways and servers, gateways and store. They delay, squeeze, fall silent on open connections, cut one direction, or reset everything; several at a time. Servers answer without a length, byte by byte, with a late second copy, or without end. The store reads slowly for all, or drops its history, which excuses nothing.

The judges excuse a link's fault only for what goes over it: a server's link for requests at that server, a gateway's link to the store for the configuration and leaving servers, its clients' link like other harm to it. A delay excuses nothing.

Tests of silences that were missing, green at once: a refusal whose body is late, a key withdrawn while the store is silent (gateway), a call to a silent replica (the product's own interface).

--- a/tests/entry_silence_test.cpp
+++ b/tests/entry_silence_test.cpp
@@ -400,6 +400,26 @@
     CHECK(calls == (refusesNext ? 2 : 1));
 }
 
+TEST_CASE("a call to a replica that falls silent for a second is answered whole", "[failure]")
+{
+    const auto point = GENERATE(silence_point::before_head, silence_point::after_head, silence_point::between_events);
+    CAPTURE(static_cast<int>(point));
+    const scripted_server replica([&](raw_connection &out, const raw_request &) {
+        const std::string whole = plainAnswer("200 OK", "a whole body");
+        const std::size_t headEnd = whole.find("\r\n\r\n") + 4;
+        const std::size_t at = point == silence_point::before_head ? 0 : point == silence_point::after_head ? headEnd : headEnd + 3;
+        out.write(whole.substr(0, at));
+        const bool closed = out.waitForClose(SILENCE_MS);
+        out.write(whole.substr(at));
+        return !closed;
+    });
+    const service_site site({&replica}, 5000);
+    const http_result result = site.call();
+    CHECK(result.status == 200);
+    CHECK(result.body == "a whole body");
+    CHECK(replica.count() == 1);
+}
+
 TEST_CASE("a repeatable call that every replica refused is reported as not_run", "[failure]")
 {
     const server_script script = [](raw_connection &out, const raw_request &) {
--- a/tests/gateway_silence_test.cpp
+++ b/tests/gateway_silence_test.cpp
@@ -282,6 +282,57 @@
     CHECK(site.metricsText().find("server_failures{kind=\"silent\"}") == std::string::npos);
 }
 
+TEST_CASE("a stream is not delayed by a refusal whose body is late", "[failure]")
+{
+    scripted_server silent([](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.write(report(in));
+            return true;
+        }
+        const std::string whole = notRun(in);
+        const std::size_t headEnd = whole.find("\r\n\r\n") + 4;
+        out.write(whole.substr(0, headEnd));
+        const bool closed = out.waitForClose(SILENCE_MS);
+        out.write(whole.substr(headEnd));
+        return !closed;
+    });
+    scripted_server sound(streaming(LAST_EVENT));
+    deployment site;
+    site.addServer("i-1", "lm", silent.address(), 0, 4);
+    site.start();
+    site.addServer("i-2", "lm", sound.address(), 0, 4);
+    REQUIRE(eventually([&] { return site.metricsText().find("fleet_servers 2") != std::string::npos; }));
+    for (int number = 0; number < 4; ++number) {
+        raw_client client(site.front());
+        client.write(makeRequest("/stream/", "id" + std::to_string(number)));
+        CHECK(isWholeStream(client.readUntil("0\r\n\r\n", SILENCE_MS), LAST_EVENT));
+    }
+}
+
+//-----------------------------------------------------------------------------
+// The store
+//-----------------------------------------------------------------------------
+
+TEST_CASE("a withdrawn key is refused in time although the store falls silent for a second", "[failure]")
+{
+    constexpr milliseconds APPLY_TIME{2000};
+    scripted_server server(answering("hello"));
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    const auto statusNow
+        = [&](const std::string &key) { return statusOf(exchange(site.front(), makeRequest("/safe/", "id", "Connection: close\r\n", "", key))); };
+    REQUIRE(statusNow("key2") == 200);
+    site.store.setFault(0, platform::store_fault::unresponsive);
+    site.publish(2, {{"Tenants", {{{"Name", "t1"}, {"ApiKeys", {"key1"}}}}}});
+    const steady_time acknowledged = std::chrono::steady_clock::now();
+    eventually([] { return false; }, milliseconds(SILENCE_MS));
+    CHECK(statusNow("key1") == 200);
+    site.store.setFault(0, platform::store_fault::none);
+    const auto left = std::chrono::duration_cast<milliseconds>(acknowledged + APPLY_TIME - std::chrono::steady_clock::now());
+    CHECK(eventually([&] { return statusNow("key2") == 401; }, left));
+}
+
 //-----------------------------------------------------------------------------
 // Plain services
 //-----------------------------------------------------------------------------
--- a/tests/soak/backend.h
+++ b/tests/soak/backend.h
@@ -5,6 +5,7 @@
 
 #include "content.h"
 #include "ledger.h"
+#include "link.h"
 #include "wire.h"
 
 #include "platform/standin/store_standin.h"
@@ -30,6 +31,18 @@
     layer_span held; // empty for a plain server
 };
 
+// How a server sends its answers.
+enum class answer_manner
+{
+    usual,
+    without_length, // neither a length nor chunks: the answer ends with its connection
+    late_copy,      // a second copy a little later, on the same connection
+    byte_by_byte,
+    endless // bytes without end, of which no answer comes
+};
+
+const char *toText(answer_manner manner);
+
 // A stage of the path of a stream.
 struct stage
 {
@@ -45,6 +58,7 @@
 {
     ledger &book;
     platform::store_standin &store;
+    link_network *links = nullptr; // through which servers are reached; null = directly
     seeded_fault fault = seeded_fault::none;
     std::mutex mutex;
     std::map<std::string, backend_server *> byAddress;
@@ -62,10 +76,17 @@
     {
         return m_plan;
     }
+    // Address at which gateways reach the server.
+    const std::string &address() const
+    {
+        return m_address;
+    }
     // Sends no byte for a while and then goes on.
     void fallSilent(milliseconds length);
     // Turns new requests away for a while.
     void refuse(milliseconds length);
+    // Sends answers in another manner for a while.
+    void answerIn(answer_manner manner, milliseconds length);
     // Resets all connections and stops listening.
     void crash();
     // True if a prompt has ended this server, once: the rig has to crash it.
@@ -101,6 +122,7 @@
         int boot = 0;
         steady_time deadline;
         std::shared_ptr<active_stream> stream; // null for plain requests
+        answer_manner manner = answer_manner::usual;
         int events = 0;
         bool disturbed = false;
         run_end end = run_end::running;
@@ -120,6 +142,10 @@
     // Updates the stage that a stream waits for. Returns false if that has been down for too long.
     bool checkStages(running_request &request);
     bool sendPart(running_request &request, const std::string &bytes);
+    // Sends bytes until the gateway closes the connection, or for some time.
+    void sendEndlessly(running_request &request, const std::string &bytes);
+    // The answer was sent whole. `copy` is what follows late if the server sends second copies.
+    void finishAnswer(running_request &request, const std::string &copy);
     // A prompt ends the server shortly after the first event.
     void crashByPrompt(running_request &request);
     void serveStream(running_request &request, const http_message &in, const std::string &subject, const std::string &head);
@@ -150,6 +176,8 @@
     layer_span m_held;
     steady_time m_silentUntil{};
     steady_time m_refusesUntil{};
+    answer_manner m_manner = answer_manner::usual;
+    steady_time m_mannerUntil{}; // of the manner
     steady_time m_downSince{};
     std::map<std::string, std::shared_ptr<active_stream>> m_streams;
     std::list<connection> m_connections;
--- a/tests/soak/rig.h
+++ b/tests/soak/rig.h
@@ -48,6 +48,8 @@
         milliseconds startBegan{0};
         milliseconds absence{300}; // from the end of the process until it is started again
         front address;             // guarded by m_mutex
+        std::string clientLink;    // address at which clients reach the gateway through a link; empty = directly
+        std::string storeLink;     // address at which it reaches the store through a link; empty = directly
         std::string ready;         // address of readiness checks, guarded by m_mutex
         bool rotation = false;     // takes new connections, guarded by m_mutex
         int misses = 0;            // readiness checks in a row
@@ -64,8 +66,11 @@
     // Restarts a server that was away.
     void comeBack(backend_server &server, bool loaded = false);
     void applyToGateway(const event &one);
+    void disturbLink(const event &one);
     void reconfigure(const event &one);
     void disturbStore(const event &one);
+    void dropHistory();
+    void slowStore(const event &one);
     void restoreStore(const event &one);
     void writeAgain(const std::vector<platform::written_record> &forgotten);
     void schedule(milliseconds delay, std::function<void()> task);
@@ -81,6 +86,7 @@
     timeline m_drawn;
     ledger m_book;
     platform::store_standin m_store;
+    std::unique_ptr<link_network> m_links; // null = the parties reach each other directly
     fleet m_fleet;
     std::vector<std::unique_ptr<backend_server>> m_servers;
     std::vector<gateway> m_gateways;
