--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,10 @@
 soak: build
 	$(BUILD)/bin/chestnutgw-soak --set soak.seed=$(or $(SEED),1) --set soak.seconds=$(or $(SECONDS),10) --set soak.folder=$(BUILD)/soak
 
-# About a minute and a half; each seed plays a restore of the store or a series of failures beside changes.
+# About two minutes; each seed plays a restore of the store or a series of failures beside changes, the last two also faults of links.
 soak-short: build
-	scripts/soak-seeds.sh $(BUILD) 6 8 11 12 28 40
+	scripts/soak-seeds.sh $(BUILD) no 6 8 11 12 28 40
+	scripts/soak-seeds.sh $(BUILD) yes 1 5
 
 demo: build
 	scripts/demo.sh $(BUILD)
