What is known of an ended server is kept while requests try it again

Cause: an instance avoids a failed server for a time that begins short and doubles. Between two of these times the server is not listed as faulty, and what a question to it had shown was forgotten with the entry: it counted as silent again, for another 0.9 s.

Evidence: "what is known of an ended server is kept while requests try it again", which the code before cannot pass: it drops the entry.

Why it works: the answer is kept for as long as the first failure is the same; only data of the server begins a new one.

--- a/src/core/lost_servers.h
+++ b/src/core/lost_servers.h
@@ -20,9 +20,10 @@
     static constexpr milliseconds GONE_TIMEOUT{700};   // a server that has ended or is unreachable counts as lost after this time
     static constexpr milliseconds SILENCE_LIMIT{1600}; // one that is perhaps only silent does after this time
     static constexpr milliseconds CHECK_INTERVAL{500}; // between two questions to the same server
+    static constexpr milliseconds MEMORY{60'000};      // after the first failure of a server that is no longer faulty
 
     // Replaces the set of servers that are unreachable or silent: address -> time of the first failure.
-    void setFaulty(std::map<std::string, steady_time> faultySince);
+    void setFaulty(const std::map<std::string, steady_time> &faultySince);
     // Addresses of the servers that are to be asked now whether they are still there. Each counts as asked.
     std::vector<std::string> takeDueChecks(steady_time now);
     // Answer of a server that was asked.
@@ -35,8 +36,9 @@
         steady_time since{};   // first failure
         steady_time nextAsk{}; // not asked before this time
         bool gone = false;     // ended or unreachable, by the last answer
+        bool faulty = true;    // false between two failures, while requests try it again; what is known of it is kept
     };
-    std::map<std::string, faulty_server> m_faulty; // by address
+    std::map<std::string, faulty_server> m_servers; // by address
 };
 
 }
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -42,9 +42,9 @@
         m_rank = rank;
     }
     // Replaces the set of unreachable or silent servers: address -> time of the first failure. Control thread only.
-    void setFaultyServers(std::map<std::string, steady_time> faultySince)
+    void setFaultyServers(const std::map<std::string, steady_time> &faultySince)
     {
-        m_lost.setFaulty(std::move(faultySince));
+        m_lost.setFaulty(faultySince);
     }
 
 private:
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -241,7 +241,7 @@
     m_control.post([this, stopping, loads = m_state.ownLoads(now), faulty = m_state.health.faulty(now)]() mutable {
         m_timeUntilStop = stopping;
         m_ownLoads = std::move(loads);
-        m_plane.setFaultyServers(std::move(faulty));
+        m_plane.setFaultyServers(faulty);
     });
     passEvidence(now);
     m_loadTimer.expires_after(LOAD_REPORT_INTERVAL);
--- a/tests/lost_servers_test.cpp
+++ b/tests/lost_servers_test.cpp
@@ -40,6 +40,18 @@
     CHECK_FALSE(lost.isLost(SERVER, START + seconds(5) + lost_servers::GONE_TIMEOUT));
 }
 
+TEST_CASE("what is known of an ended server is kept while requests try it again", "[unit]")
+{
+    lost_servers lost;
+    lost.setFaulty({{SERVER, START}});
+    lost.takeDueChecks(START);
+    lost.noteState(SERVER, process_state::unreachable);
+    lost.setFaulty({});
+    CHECK_FALSE(lost.isLost(SERVER, START + lost_servers::GONE_TIMEOUT));
+    lost.setFaulty({{SERVER, START}}); // the next request failed too
+    CHECK(lost.isLost(SERVER, START + lost_servers::GONE_TIMEOUT));
+}
+
 TEST_CASE("a faulty server is asked now and then until it counts as lost", "[unit]")
 {
     lost_servers lost;
--- a/tests/part_quarantine_simulation_test.cpp
+++ b/tests/part_quarantine_simulation_test.cpp
@@ -326,7 +326,11 @@
     most.instances = 195;
     most.servers = 60;
     most.crashingPerSecond = 4;
-    return {plain, rare, frequent, hot, mass, many, most};
+    day_plan series = plain;
+    series.endsPerSecond = 1;
+    day_plan seriesOfMany = many;
+    seriesOfMany.endsPerSecond = 1;
+    return {plain, rare, frequent, hot, mass, many, most, series, seriesOfMany};
 }
 
 // Days without one on which servers end for other reasons.
@@ -346,7 +350,7 @@
 
 TEST_CASE("simulated days: a crashing part is kept from servers within the contact time of the fifth end", "[unit]")
 {
-    const auto number = GENERATE(range(0, 7));
+    const auto number = GENERATE(range(0, 9));
     const auto seed = GENERATE(range(1, 6));
     CAPTURE(number, seed);
     const day_result result = simulated_day(crashingDays()[static_cast<std::size_t>(number)], static_cast<std::uint64_t>(seed)).play();
