A server whose report is unusable is not taken for one that has ended

What callers saw: nothing yet; found when the change was read again. A server that is alive but answers its report with an error or with garbage counted as ended: evidence against the parts of prompts that it was answering, and lost for its layers after 0.7 s.

Cause: every failed report that had not timed out was read as "refused".

--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -56,18 +56,19 @@
 struct server_report
 {
     bool ok = false;
-    bool connected = false; // the server accepted the connection
-    bool timedOut = false;  // no answer in time, which says nothing about the server's process
+    bool answered = false;  // the process that was asked has sent an answer, usable or not
+    bool connected = false; // its machine has accepted the connection
+    bool timedOut = false;  // no answer in time
     std::string error;
     bool busy = false;               // an order is in progress
     std::uint64_t orderSequence = 0; // number of orders begun since the server started
     layer_range held;
     std::map<std::string, std::string> stalledRequests; // request id -> address of the stage it waits for
 
-    // Whether the process that was asked still runs.
+    // What the answer, or the lack of one, shows of the process that was asked.
     process_state processState() const
     {
-        if (ok) {
+        if (answered) {
             return process_state::alive;
         }
         if (!timedOut) {
@@ -130,8 +131,7 @@
     virtual void setMaxConfirmationAge(milliseconds maxAge) = 0;
     // Rank of this instance among all, 0 = first: later ones ask a store that does not answer less often.
     virtual void setRank(int rank) = 0;
-    // Serializes the updates that a peer at position `since` lacks. A configuration may be large, so it is included only if the
-    // peer cannot read it from the platform itself.
+    // Serializes the updates that a peer at position `since` lacks.
     virtual std::string exportUpdates(const update_position &since) const = 0;
     // Applies the updates exported by a peer.
     virtual void importUpdates(const std::string &updates) = 0;
