Logs and metrics of callers that left and of streams that wait

Now: request_abandoned with requests_abandoned{waiting_for,unacknowledged}, sent_after_close with sends_after_close, and stream_waits with what the first server reports of its queue, memory and speed (from the report that is read anyway). No decision changes.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -408,6 +408,12 @@
     }
 }
 
+bool client_session::hasClientClosed()
+{
+    char byte = 0;
+    return m_clientGone || ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void client_session::handleClientGone()
 {
     m_clientGone = true;
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -36,6 +36,7 @@
     asio::awaitable<bool> writeStream(const std::string &bytes) override;
     asio::awaitable<bool> finishStream() override;
     void cut() override;
+    bool hasClientClosed() override;
 
 private:
     enum class answer_progress
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -188,6 +188,7 @@
     attempt.process = m_state.processOf(first.server);
     attempt.exposure = std::make_unique<part_exposure>(m_state.quarantine, m_facts.parts);
     spawnLogged(m_state.context, "stall_monitor", monitorStalls(shared_from_this(), attempt.shared_from_this()));
+    noteSend(first.address);
     status = co_await exchange.send(bytes, m_facts.deadline);
     co_return status == exchange_status::ok ? opening_state::pending : noteBroken(attempt, exchange, status);
 }
@@ -492,6 +493,28 @@
     }
 }
 
+const char *generation_flow::waitingFor() const
+{
+    if (!m_current) {
+        return "path";
+    }
+    if (m_current->blockedByClient) {
+        return "client";
+    }
+    return m_streamBegan ? "next_event" : m_current->sent == steady_time() ? "connection" : "first_event";
+}
+
+std::string generation_flow::serversInUse() const
+{
+    std::string addresses;
+    for (const attempt_ptr &attempt : {m_current, m_second}) {
+        for (const path_stage &stage : attempt ? attempt->path : std::vector<path_stage>()) {
+            addresses += (addresses.empty() ? "" : ",") + stage.address;
+        }
+    }
+    return addresses;
+}
+
 bool generation_flow::mayResume() const
 {
     return m_facts.matched->resumable && m_outcome.runs < m_facts.matched->maxAttempts;
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -18,6 +18,10 @@
     using request_flow::request_flow;
     asio::awaitable<void> run() override;
 
+protected:
+    const char *waitingFor() const override;
+    std::string serversInUse() const override;
+
 private:
     using attempt_ptr = std::shared_ptr<stream_attempt>;
 
@@ -88,6 +92,8 @@
     // attempt. `self` keeps the flow alive while this coroutine runs.
     asio::awaitable<void> monitorStalls(std::shared_ptr<generation_flow> self, attempt_ptr attempt);
     asio::awaitable<void> handleStall(attempt_ptr attempt);
+    // Logs what a silent attempt waits for, with the work that its first server reports.
+    void logWait(const stream_attempt &attempt, const std::optional<server_report> &report);
     struct order_answer
     {
         order_outcome outcome;
--- a/src/gateway/generation_stalls.cpp
+++ b/src/gateway/generation_stalls.cpp
@@ -57,6 +57,7 @@
         co_return;
     }
     const bool reported = report && report->ok;
+    logWait(*attempt, report);
     if (!reported && isOwnDelay(now + REPORT_TIMEOUT)) {
         m_state.counters.count("inquiries_delayed");
         co_return;
@@ -88,6 +89,34 @@
     ++attempt->emptyInquiries;
 }
 
+void generation_flow::logWait(const stream_attempt &attempt, const std::optional<server_report> &report)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (!m_state.logLimiter.take(now)) {
+        return;
+    }
+    std::string stages;
+    for (const path_stage &stage : attempt.path) {
+        stages += (stages.empty() ? "" : ",") + stage.address;
+    }
+    const engine_load load = report ? report->load : engine_load();
+    logLine(log_level::info, "stream_waits",
+            {{"request", m_facts.id},
+             {"stages", stages},
+             {"waiting_for", waitingFor()},
+             {"silent_ms", std::to_string(attempt.silence(now).count())},
+             {"report",
+              !report          ? "none"
+                  : report->ok ? "read"
+                               : report->error},
+             {"stalled_at", report && report->stalledRequests.contains(m_facts.id) ? report->stalledRequests.at(m_facts.id) : ""},
+             {"queued", std::to_string(load.queued)},
+             {"running", std::to_string(load.running)},
+             {"kv_used", std::to_string(static_cast<std::int64_t>(load.kvUsed))},
+             {"kv_total", std::to_string(static_cast<std::int64_t>(load.kvTotal))},
+             {"step_factor", std::to_string(load.stepFactor)}});
+}
+
 asio::awaitable<void> generation_flow::replaceStage(attempt_ptr attempt, std::string lostAddress)
 {
     const steady_time lastData = attempt->lastData;
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -52,6 +52,20 @@
     }
 }
 
+const char *plain_flow::waitingFor() const
+{
+    return m_running.empty() ? "server" : "answer";
+}
+
+std::string plain_flow::serversInUse() const
+{
+    std::string addresses;
+    for (const auto &one : m_running) {
+        addresses += (addresses.empty() ? "" : ",") + one->server.address;
+    }
+    return addresses;
+}
+
 asio::awaitable<void> plain_flow::finishFailed()
 {
     if (m_outcome.runs == 0 && m_refusal && m_refusal->head.status != 421) {
@@ -190,6 +204,7 @@
         co_return connected;
     }
     const std::string bytes = encodeRequest(one.server, {}, std::chrono::steady_clock::now());
+    noteSend(one.server.address);
     const exchange_status sent = co_await exchange.send(bytes, m_facts.deadline);
     co_return sent == exchange_status::ok ? co_await readAnswer(one) : sent;
 }
--- a/src/gateway/plain_flow.h
+++ b/src/gateway/plain_flow.h
@@ -16,6 +16,10 @@
     using request_flow::request_flow;
     asio::awaitable<void> run() override;
 
+protected:
+    const char *waitingFor() const override;
+    std::string serversInUse() const override;
+
 private:
     struct whole_answer
     {
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -52,6 +52,16 @@
     store_epoch epoch; // of the answer, 0 = not told
 };
 
+// Work of a backend server's engine, as of its report. -1 = not reported.
+struct engine_load
+{
+    int queued = -1;        // requests that wait at the server
+    int running = -1;       // requests that it works on
+    double kvUsed = -1;     // KV memory in use, in tokens times layers
+    double kvTotal = -1;    // all its KV memory, in tokens times layers
+    double stepFactor = -1; // 1 = usual speed, larger = slower
+};
+
 // State that a backend server reports.
 struct server_report
 {
@@ -63,6 +73,7 @@
     bool busy = false;               // an order is in progress
     std::uint64_t orderSequence = 0; // number of orders begun since the server started
     layer_range held;
+    engine_load load;
     std::map<std::string, std::string> stalledRequests; // request id -> address of the stage it waits for
 
     // What the answer, or the lack of one, shows of the process that was asked.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -72,11 +72,38 @@
 void request_flow::abandon()
 {
     m_abandoned = true;
+    std::size_t unacknowledged = 0;
     for (const auto &known : m_exchanges) {
         if (const auto exchange = known.lock()) {
+            unacknowledged += exchange->unacknowledgedBytes();
             exchange->abort();
         }
     }
+    logAbandoned(unacknowledged);
+}
+
+void request_flow::logAbandoned(std::size_t unacknowledgedBytes)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    m_state.counters.count("requests_abandoned", {{"waiting_for", waitingFor()}, {"unacknowledged", unacknowledgedBytes > 0 ? "yes" : "no"}});
+    if (!m_state.logLimiter.take(now)) {
+        return;
+    }
+    logLine(log_level::info, "request_abandoned",
+            {{"request", m_facts.id},
+             {"waiting_for", waitingFor()},
+             {"servers", serversInUse()},
+             {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - m_facts.accepted).count())},
+             {"unacknowledged_bytes", std::to_string(unacknowledgedBytes)}});
+}
+
+void request_flow::noteSend(const std::string &address)
+{
+    if (!m_sink.hasClientClosed()) {
+        return;
+    }
+    m_state.counters.count("sends_after_close");
+    logLine(log_level::warning, "sent_after_close", {{"request", m_facts.id}, {"address", address}});
 }
 
 std::shared_ptr<upstream_exchange> request_flow::makeExchange(const std::string &address)
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -23,6 +23,8 @@
     virtual asio::awaitable<bool> finishStream() = 0;
     // Closes the connection in mid-answer, so that the client does not take the answer for complete.
     virtual void cut() = 0;
+    // True if the client's close has arrived, also if no event has reported it yet. Does not see a close behind unread data.
+    virtual bool hasClientClosed() = 0;
 };
 
 using client_message = http::request<http::string_body>;
@@ -85,7 +87,7 @@
     request_flow(traffic_state &state, request_facts facts, answer_sink &sink);
     virtual ~request_flow();
     virtual asio::awaitable<void> run() = 0;
-    // Aborts all exchanges in progress, since the client has closed its connection.
+    // Aborts all exchanges in progress, since the client has closed its connection or the process ends.
     void abandon();
     const request_outcome &outcome() const
     {
@@ -93,6 +95,18 @@
     }
 
 protected:
+    // Notes that the request is about to be sent to a server. Counts it if the client's close has arrived unnoticed.
+    void noteSend(const std::string &address);
+    // What the request waits for while its client leaves, as a label of metrics and logs.
+    virtual const char *waitingFor() const
+    {
+        return "answer";
+    }
+    // Addresses of the servers that work on the request, separated by commas.
+    virtual std::string serversInUse() const
+    {
+        return {};
+    }
     // Creates an exchange with a server, which abandon() aborts as long as it exists.
     std::shared_ptr<upstream_exchange> makeExchange(const std::string &address);
     // Encodes the request as sent to a server; extra headers come last and replace those of the client.
@@ -124,6 +138,8 @@
     bool m_abandoned = false;
 
 private:
+    void logAbandoned(std::size_t unacknowledgedBytes);
+
     std::vector<std::weak_ptr<upstream_exchange>> m_exchanges;
 };
 
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -11,7 +11,9 @@
 #include <array>
 #include <charconv>
 #include <limits>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace chestnut
@@ -166,6 +168,14 @@
     }
 }
 
+std::size_t upstream_exchange::unacknowledgedBytes()
+{
+    int bytes = 0;
+    const bool open = m_connection && m_connection->stream.socket().is_open();
+    const bool known = open && ::ioctl(m_connection->stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0;
+    return known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 exchange_status upstream_exchange::translate(error_code error)
 {
     if (!error) {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -136,6 +136,8 @@
         return m_sent;
     }
     void abort();
+    // Bytes of the request that the server's machine has not acknowledged; 0 without a connection.
+    std::size_t unacknowledgedBytes();
     // Error text of the last step that failed, for logs.
     const std::string &errorText() const
     {
