An exchange that is given up resets its connection, so that its bytes are not delivered later

Callers saw: work went on for clients that had left (GONE): a server got the request after its client was gone. Cause: abort() and the end of an incomplete exchange closed the connection in the ordinary way. The kernel goes on delivering what is in its send buffer, for as long as TCP_USER_TIMEOUT allows: behind a cut network or before a server that does not read, a request arrives seconds after it was given up. Evidence: a server that reads nothing for 1.5 s got all 409,823 bytes of a request whose client had left 1.1 s before. Why this works: with a linger time of 0 the kernel discards the buffer and sends a reset, which ends the work of a server that has begun.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -83,6 +83,15 @@
     connection.stream.socket().close(ignored);
 }
 
+// Closes the connection with a TCP reset, which discards what was not delivered yet: the server must not get a request later that nobody
+// waits for any more, for example when the network between them works again.
+void resetNow(upstream_connection &connection)
+{
+    error_code ignored; // the connection is discarded either way
+    connection.stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    connection.stream.socket().close(ignored);
+}
+
 }
 
 std::string_view headerValue(const header_list &headers, std::string_view name)
@@ -155,8 +164,10 @@
     if (clean && open) {
         m_connection->stream.expires_never();
         m_pool.giveBack(m_address, std::move(m_connection));
-    } else {
+    } else if (m_complete) {
         closeNow(*m_connection);
+    } else {
+        resetNow(*m_connection);
     }
 }
 
@@ -164,7 +175,7 @@
 {
     m_aborted = true;
     if (m_connection) {
-        closeNow(*m_connection);
+        resetNow(*m_connection);
     }
 }
 
