An unsigned redirect or client error is not taken for a server's answer

Callers saw: proper requests were turned away as if they were wrong (DENIED). Cause: the server's signature was asked for below status 300 only. A 3xx or 4xx that something else wrote - a faulty server, a server's HTTP layer, whatever serves at a reused address - reached the client unchanged, was not repeated, and counted as a success of that server. And a refusal ("not run") was passed on with whatever status it bore, 400 and 404 included, after which clients don't come back. Why this works: an unsigned answer below 500 is unusable, as an unsigned success was: another server is asked where the route allows it, else the client gets 502. Of refusals only 429 and 503 are passed on, and 400 for a request without an id; any other becomes 503 with Retry-After. Signed client errors still pass unchanged.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -213,13 +213,15 @@
         co_await exchange.readBody(ignored, MAX_ERROR_BODY_BYTES, std::chrono::steady_clock::now() + CONNECT_TIMEOUT);
         co_return opening_state::not_run;
     }
+    if (isUnusable(head)) {
+        logLine(log_level::info, "answer_unusable",
+                {{"request", m_facts.id}, {"server", attempt.first().server.text}, {"address", exchange.address()}, {"status", std::to_string(head.status)}});
+        co_return noteBroken(attempt, exchange, exchange_status::broken);
+    }
     if (head.status < 200 || head.status >= 300) {
         noteFailure(exchange.address(), failure_kind::error);
         co_return opening_state::error_answer;
     }
-    if (isUnusable(head)) {
-        co_return noteBroken(attempt, exchange, exchange_status::broken);
-    }
     status = co_await exchange.readPiece(attempt.firstPiece, m_facts.deadline);
     if (status != exchange_status::ok) {
         co_return noteBroken(attempt, exchange, status);
@@ -408,7 +410,7 @@
     }
     m_outcome.lastEnd = attempt_end::answered;
     m_outcome.reason = "server_failure";
-    co_await forwardAnswer(exchange->head(), body);
+    co_await forwardAnswer(exchange->head(), body, exchange->address());
     co_return attempt_result::error_forwarded;
 }
 
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -46,12 +46,24 @@
     if (m_abandoned) {
         m_outcome.lastEnd = attempt_end::client_left;
     } else if (m_answer) {
-        co_await forwardAnswer(m_answer->head, m_answer->body);
+        co_await forwardAnswer(*m_answer);
     } else {
         co_await finishFailed();
     }
 }
 
+asio::awaitable<void> plain_flow::forwardAnswer(const whole_answer &whole)
+{
+    return request_flow::forwardAnswer(whole.head, whole.body, whole.address);
+}
+
+bool plain_flow::mayForwardRefusal(const answer_head &head) const
+{
+    const bool tellsToComeBack = head.status == 429 || head.status == 503;
+    const bool lacksId = head.status == 400 && m_facts.id.empty();
+    return tellsToComeBack || lacksId;
+}
+
 const char *plain_flow::waitingFor() const
 {
     return m_running.empty() ? "server" : "answer";
@@ -68,13 +80,13 @@
 
 asio::awaitable<void> plain_flow::finishFailed()
 {
-    if (m_outcome.runs == 0 && m_refusal && m_refusal->head.status != 421) {
+    if (m_outcome.runs == 0 && m_refusal && mayForwardRefusal(m_refusal->head)) {
         m_outcome.reason = "server_refused";
-        co_await forwardAnswer(m_refusal->head, m_refusal->body);
+        co_await forwardAnswer(*m_refusal);
     } else if (m_outcome.runs == 0) {
         co_await respondWithError(503, m_reason, retryAfter(REFUSED_RETRY));
     } else if (m_errorAnswer) {
-        co_await forwardAnswer(m_errorAnswer->head, m_errorAnswer->body);
+        co_await forwardAnswer(*m_errorAnswer);
     } else {
         co_await respondWithError(overdue() ? 504 : 502, m_reason);
     }
@@ -217,6 +229,7 @@
     }
     one.lastData = std::chrono::steady_clock::now();
     one.answer.head = exchange.head();
+    one.answer.address = exchange.address();
     noteLoad(one.answer.head, one.server.address);
     noteLeaving(one.answer.head, one.server.address);
     std::vector<std::string> pieces; // joined at the end, so that an answer without end is not copied again and again
--- a/src/gateway/plain_flow.h
+++ b/src/gateway/plain_flow.h
@@ -23,6 +23,7 @@
 private:
     struct whole_answer
     {
+        std::string address; // of the server
         answer_head head;
         std::string body;
     };
@@ -67,6 +68,10 @@
     void settleAnswered(attempt &one);
     // Aborts the attempts in progress, whose results are no longer needed.
     void stopAttempts();
+    asio::awaitable<void> forwardAnswer(const whole_answer &whole);
+    // True if a server's refusal is right for the client too: it is told to come back, or its request is at fault. Any other one concerns
+    // that server alone.
+    bool mayForwardRefusal(const answer_head &head) const;
     // Sends the answer of a request that no server has answered with success.
     asio::awaitable<void> finishFailed();
     // Time without data after which another server is asked too.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -14,6 +14,7 @@
 
 constexpr double QUIET_SPREAD = 0.5;         // random part of a quiet period that is added to Retry-After, so that clients do not return as one wave
 constexpr std::size_t MAX_LOGGED_VALUE = 64; // bytes
+constexpr int SERVER_ERROR = 500;            // first status that says that the server failed
 
 // Parses the first two numbers of "running,waiting,slots". False if the text has another format.
 bool parseLoad(std::string_view text, int &running, int &waiting)
@@ -43,6 +44,12 @@
     return NAMES[static_cast<int>(end)];
 }
 
+bool isClientError(int status)
+{
+    const bool promise = status == 408 || status == 421 || status == 429;
+    return status >= 300 && status < SERVER_ERROR && !promise;
+}
+
 std::string errorBody(const char *reason)
 {
     return std::string("{\"error\":\"") + reason + "\"}\n";
@@ -160,13 +167,18 @@
     co_await m_sink.respond(status, headers, body);
 }
 
-asio::awaitable<void> request_flow::forwardAnswer(const answer_head &head, const std::string &body)
+asio::awaitable<void> request_flow::forwardAnswer(const answer_head &head, const std::string &body, const std::string &address)
 {
     m_outcome.status = head.status;
     if (m_outcome.reason.empty()) {
         m_outcome.reason = "answered";
     }
     m_outcome.firstByte = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_facts.accepted);
+    if (isClientError(head.status)) {
+        m_state.counters.count("client_errors_forwarded", {{"status", std::to_string(head.status)}});
+        logLine(log_level::info, "client_error_forwarded",
+                {{"request", m_facts.id}, {"status", std::to_string(head.status)}, {"servers", m_outcome.servers}, {"address", address}});
+    }
     co_await m_sink.respond(head.status, head.headers, body);
 }
 
@@ -178,8 +190,8 @@
 bool request_flow::isUnusable(const answer_head &head) const
 {
     const bool encoded = !headerValue(head.headers, "Content-Encoding").empty();
-    const bool unsignedSuccess = head.status < 300 && headerValue(head.headers, m_state.headerNames.signature).empty();
-    return encoded || unsignedSuccess;
+    const bool isUnsigned = headerValue(head.headers, m_state.headerNames.signature).empty();
+    return encoded || (isUnsigned && head.status < SERVER_ERROR);
 }
 
 void request_flow::noteLoad(const answer_head &head, const std::string &address)
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -114,11 +114,12 @@
     std::string encodeRequest(const listed_server &server, const header_list &extra, steady_time now) const;
     // Sends an error answer of the gateway's own, with the reason in a JSON body.
     asio::awaitable<void> respondWithError(int status, const char *reason, milliseconds retryAfter = milliseconds(0));
-    // Forwards a server's whole answer to the client.
-    asio::awaitable<void> forwardAnswer(const answer_head &head, const std::string &body);
+    // Forwards the whole answer of the server at this address to the client.
+    asio::awaitable<void> forwardAnswer(const answer_head &head, const std::string &body, const std::string &address);
     // True if the server states that it has not executed the request.
     bool saysNotRun(const answer_head &head) const;
-    // True if the answer cannot be trusted to be what the server produced: content-encoded on the way, or a success without signature.
+    // True if the answer cannot be trusted to be what the server produced: content-encoded on the way, or a success, redirect or client
+    // error without signature.
     bool isUnusable(const answer_head &head) const;
     // Stores the load that a server reports in its answer's headers.
     void noteLoad(const answer_head &head, const std::string &address);
@@ -146,6 +147,8 @@
 
 std::shared_ptr<request_flow> makeFlow(traffic_state &state, request_facts facts, answer_sink &sink);
 
+// True for a redirect or an error that says that the request is at fault, so that the client does not repeat it.
+bool isClientError(int status);
 // JSON body of the gateway's own error answers.
 std::string errorBody(const char *reason);
 // Headers of the gateway's own error answers; `id` is echoed unless it is empty.
