A lowered limit on the size of requests applies after clients could learn of it

Callers saw: a request that an older version, still in force for its client, allows was turned away with 413 or 431 (DENIED). Cause: limits of a new configuration applied at once. Why this works: sizes that a replaced configuration allowed are accepted for 10 s more. Time limits still apply at once.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -145,7 +145,7 @@
 
 client_limits client_session::currentLimits() const
 {
-    return m_state.config ? m_state.config->limits : client_limits();
+    return m_state.limitsAt(std::chrono::steady_clock::now());
 }
 
 void client_session::cancelOperations()
@@ -212,7 +212,7 @@
     const error_code error = co_await readMessage(parser, currentLimits());
     if (error) {
         m_closeReason = "unreadable";
-        co_await rejectUnreadable(error);
+        co_await rejectUnreadable(error, std::string(viewOf(parser.get()[m_state.headerNames.requestId])));
         co_return false;
     }
     m_reading = false;
@@ -254,7 +254,7 @@
     }
 }
 
-asio::awaitable<void> client_session::rejectUnreadable(error_code error)
+asio::awaitable<void> client_session::rejectUnreadable(error_code error, const std::string &id)
 {
     m_keepAlive = false;
     int status = 400;
@@ -273,8 +273,8 @@
         co_return;
     }
     m_state.counters.count("requests_unreadable", {{"reason", reason}});
-    logLine(log_level::info, "request_unreadable", {{"reason", reason}, {"error", error.message()}});
-    co_await rejectRequest(status, reason, "");
+    logLine(log_level::info, "request_unreadable", {{"request", id}, {"reason", reason}, {"error", error.message()}});
+    co_await rejectRequest(status, reason, id);
 }
 
 //-----------------------------------------------------------------------------
@@ -527,8 +527,16 @@
 asio::awaitable<void> client_session::rejectRequest(int status, const char *reason, const std::string &id, milliseconds retryAfter)
 {
     m_state.counters.count("requests_rejected", {{"reason", reason}});
-    if (m_state.logLimiter.take(std::chrono::steady_clock::now())) {
-        logLine(log_level::info, "request_rejected", {{"request", id}, {"status", std::to_string(status)}, {"reason", reason}});
+    const steady_time now = std::chrono::steady_clock::now();
+    log_line_limiter &limiter = isClientError(status) ? m_state.clientErrorLimiter : m_state.logLimiter;
+    if (limiter.take(now)) {
+        const auto configAge = std::chrono::duration_cast<milliseconds>(now - m_state.configSince);
+        logLine(log_level::info, "request_rejected",
+                {{"request", id},
+                 {"status", std::to_string(status)},
+                 {"reason", reason},
+                 {"config", m_state.config ? std::to_string(m_state.config->version) : "none"},
+                 {"config_age_ms", m_state.config ? std::to_string(configAge.count()) : ""}});
     }
     const header_list headers = errorHeaders(m_state.headerNames, id, retryAfter);
     const std::string body = errorBody(reason);
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -65,7 +65,7 @@
     // discards what is still on its way.
     asio::awaitable<void> closeGracefully();
     // Answers a request that cannot be parsed, if HTTP has a status for the error; the connection closes.
-    asio::awaitable<void> rejectUnreadable(boost::system::error_code error);
+    asio::awaitable<void> rejectUnreadable(boost::system::error_code error, const std::string &id);
     asio::awaitable<void> serve(client_message &message);
     // Runs a request and its answer. The result is the text of an exception that ended it, empty if there was none.
     asio::awaitable<std::string> runFlow(const client_message &message, request_facts &facts);
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -9,10 +9,11 @@
 namespace
 {
 
-constexpr milliseconds MAX_REPORT_AGE{1000};  // older load reports of a server are ignored
-constexpr double PASS_WAIT_MS = 1.2;          // mean wait per stage until the server's current pass ends
-constexpr double DOMAIN_HOP_PENALTY_MS = 5.0; // penalty per token for a hop into another failure domain
-constexpr double TRANSFER_TIME_WEIGHT = 0.3;  // fraction of a prompt's link time, in which other requests wait, that is added to the hop penalty
+constexpr milliseconds FORMER_LIMITS_TIME{10'000}; // an older configuration may be in force elsewhere for so long
+constexpr milliseconds MAX_REPORT_AGE{1000};       // older load reports of a server are ignored
+constexpr double PASS_WAIT_MS = 1.2;               // mean wait per stage until the server's current pass ends
+constexpr double DOMAIN_HOP_PENALTY_MS = 5.0;      // penalty per token for a hop into another failure domain
+constexpr double TRANSFER_TIME_WEIGHT = 0.3;       // fraction of a prompt's link time, in which other requests wait, that is added to the hop penalty
 
 // Time for which a prompt of this size occupies the shared link between two failure domains.
 double interDomainTransferMs(const engine_profile &engine, double tokens)
@@ -59,6 +60,7 @@
     , pool(ioContext)
     , random(std::hash<std::string>()(gatewaySettings.name))
     , logLimiter(gatewaySettings.logLinesPerSecond)
+    , clientErrorLimiter(gatewaySettings.logLinesPerSecond)
     , pauses(ioContext, gatewayCounters)
 {
 }
@@ -71,8 +73,25 @@
 
 void traffic_state::applyConfig(std::shared_ptr<const gateway_config> next)
 {
+    const steady_time now = std::chrono::steady_clock::now();
+    if (config) {
+        std::erase_if(m_formerLimits, [now](const former_limits &former) { return former.until <= now; });
+        m_formerLimits.push_back({config->limits, now + FORMER_LIMITS_TIME});
+    }
     config = std::move(next);
-    configSince = std::chrono::steady_clock::now();
+    configSince = now;
+}
+
+client_limits traffic_state::limitsAt(steady_time now) const
+{
+    client_limits limits = config ? config->limits : client_limits();
+    for (const former_limits &former : m_formerLimits) {
+        if (former.until > now) {
+            limits.headerBytes = std::max(limits.headerBytes, former.limits.headerBytes);
+            limits.bodyBytes = std::max(limits.bodyBytes, former.limits.bodyBytes);
+        }
+    }
+    return limits;
 }
 
 void traffic_state::applyFleet(std::shared_ptr<const fleet_snapshot> next)
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -79,6 +79,7 @@
     upstream_pool pool;
     pcg32 random;
     log_line_limiter logLimiter;
+    log_line_limiter clientErrorLimiter; // of rejections that put the blame on the request: they are not to be lost among other lines
     pause_recovery pauses;
     bool draining = false;               // shutdown is in progress
     steady_time drainEnd{};              // latest end of the process; valid while draining
@@ -98,6 +99,8 @@
     }
     // Puts a new configuration in force for the requests that are read from now on.
     void applyConfig(std::shared_ptr<const gateway_config> next);
+    // Limits on what a client may send. A lowered limit on the size of a request applies after a time in which clients learn of it.
+    client_limits limitsAt(steady_time now) const;
     // Puts a new list of servers in force; resets the health of addresses at which another process runs now.
     void applyFleet(std::shared_ptr<const fleet_snapshot> next);
     // This instance's load report for its peers.
@@ -134,7 +137,15 @@
     path_query pathQuery(const service_profile &service, double tokens, bool ignoreCapacity) const;
     std::vector<stage_candidate> candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now);
 
+    // Limits of a configuration that was replaced.
+    struct former_limits
+    {
+        client_limits limits;
+        steady_time until; // sizes that they allow are accepted until then
+    };
+
     std::map<service_id, repeat_budget> m_budgets;
+    std::vector<former_limits> m_formerLimits;
 };
 
 // Counts bytes of one answer in traffic_state::bufferedAnswerBytes until it is destroyed.
