--- a/tests/followed_topic.h
+++ b/tests/followed_topic.h
@@ -8,6 +8,8 @@
 namespace chestnut::test
 {
 
+constexpr const char *UNUSABLE = "unusable"; // value at which the handler of a followed topic throws
+
 // Follower of a topic on its own event loop; the test reads the values that it reported.
 struct followed_topic
 {
@@ -25,6 +27,9 @@
     platform::keyed_handler handler()
     {
         return {[this](const std::string &key, const std::string &value) {
+                    if (value == UNUSABLE) {
+                        throw std::runtime_error("unusable value");
+                    }
                     const bool same = get(key) == value;
                     set(key, value);
                     return same ? platform::value_effect::unchanged : platform::value_effect::changed;
