A connection that bore a refusal of a request is not used for that request again

Cause: answers on a kept connection are told apart by request id. A stream that a server refused because of a later stage is sent to the same first server again on another path, under the same id and on the same idle connection: there a late copy of the refusal was taken for a new one. Why this works: a connection remembers the ids of its last refusals, and the pool gives it to other requests only.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -194,7 +194,7 @@
 
 asio::awaitable<opening_state> generation_flow::readOpening(stream_attempt &attempt, upstream_exchange &exchange)
 {
-    exchange_status status = co_await exchange.readHead(m_state.headerNames.requestId, m_facts.id, m_facts.deadline);
+    exchange_status status = co_await exchange.readHead(m_state.headerNames.requestId, m_facts.deadline);
     if (status != exchange_status::ok) {
         co_return noteBroken(attempt, exchange, status);
     }
@@ -208,6 +208,7 @@
     noteLeaving(head, exchange.address());
     if (saysNotRun(head)) {
         --m_outcome.runs;
+        exchange.noteRefused();
         noteRefusal(head, exchange.address());
         std::string ignored; // read, so that the connection can be reused
         co_await exchange.readBody(ignored, MAX_ERROR_BODY_BYTES, std::chrono::steady_clock::now() + CONNECT_TIMEOUT);
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -223,7 +223,7 @@
 asio::awaitable<exchange_status> plain_flow::readAnswer(attempt &one)
 {
     upstream_exchange &exchange = *one.exchange;
-    exchange_status status = co_await exchange.readHead(m_state.headerNames.requestId, m_facts.id, m_facts.deadline);
+    exchange_status status = co_await exchange.readHead(m_state.headerNames.requestId, m_facts.deadline);
     if (status != exchange_status::ok) {
         co_return status;
     }
@@ -295,6 +295,7 @@
     ++m_outcome.refused;
     m_reason = "not_run";
     m_outcome.lastEnd = attempt_end::refused;
+    one.exchange->noteRefused();
     noteFailure(one.server.address, failure_kind::refused);
     m_refusal = std::move(one.answer);
 }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -111,7 +111,7 @@
 
 std::shared_ptr<upstream_exchange> request_flow::makeExchange(const std::string &address)
 {
-    auto exchange = std::make_shared<upstream_exchange>(m_state.pool, address);
+    auto exchange = std::make_shared<upstream_exchange>(m_state.pool, address, m_facts.id);
     m_exchanges.push_back(exchange);
     return exchange;
 }
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -33,6 +34,7 @@
 constexpr std::size_t MAX_IDLE_PER_SERVER = 48;
 constexpr milliseconds LATE_DATA_LIMIT{1000}; // after the time limit, data that has arrived by then is still read for this long
 constexpr int MAX_SKIPPED_ANSWERS = 4;        // interim (1xx) answers and late answers to other requests
+constexpr std::size_t MAX_REFUSED_IDS = 16;   // kept for each connection
 
 // Completion token that stores the error code instead of throwing.
 auto into(error_code &error)
@@ -114,18 +116,26 @@
 // Pool
 //-----------------------------------------------------------------------------
 
-std::unique_ptr<upstream_connection> upstream_pool::takeIdle(const std::string &address)
+std::unique_ptr<upstream_connection> upstream_pool::takeIdle(const std::string &address, const std::string &requestId)
 {
     auto &idle = m_idle[address];
     const steady_time now = std::chrono::steady_clock::now();
-    while (!idle.empty()) {
-        std::unique_ptr<upstream_connection> connection = std::move(idle.back());
-        idle.pop_back();
-        if (connection->reusableUntil > now && isOpenAndIdle(connection->stream.socket().native_handle())) {
+    const auto isUsable
+        = [now](const std::unique_ptr<upstream_connection> &one) { return one->reusableUntil > now && isOpenAndIdle(one->stream.socket().native_handle()); };
+    for (auto next = idle.end(); next != idle.begin();) {
+        --next;
+        if (!isUsable(*next)) {
+            closeNow(**next);
+            next = idle.erase(next);
+            continue;
+        }
+        const std::deque<std::string> &refused = (*next)->refused;
+        if (std::find(refused.begin(), refused.end(), requestId) == refused.end()) {
+            std::unique_ptr<upstream_connection> connection = std::move(*next);
+            idle.erase(next);
             connection->reused = true;
             return connection;
         }
-        closeNow(*connection);
     }
     return nullptr;
 }
@@ -148,9 +158,10 @@
 // Exchange
 //-----------------------------------------------------------------------------
 
-upstream_exchange::upstream_exchange(upstream_pool &pool, std::string address)
+upstream_exchange::upstream_exchange(upstream_pool &pool, std::string address, std::string requestId)
     : m_pool(pool)
     , m_address(std::move(address))
+    , m_requestId(std::move(requestId))
 {
 }
 
@@ -202,7 +213,7 @@
 asio::awaitable<exchange_status> upstream_exchange::connect(bool fresh, steady_time until)
 {
     if (!fresh) {
-        m_connection = m_pool.takeIdle(m_address);
+        m_connection = m_pool.takeIdle(m_address, m_requestId);
         if (m_connection) {
             co_return exchange_status::ok;
         }
@@ -231,7 +242,7 @@
     co_return translate(error);
 }
 
-asio::awaitable<exchange_status> upstream_exchange::readHead(const std::string &idHeader, const std::string &id, steady_time until)
+asio::awaitable<exchange_status> upstream_exchange::readHead(const std::string &idHeader, steady_time until)
 {
     for (int skipped = 0; skipped <= MAX_SKIPPED_ANSWERS; ++skipped) {
         m_parser.emplace();
@@ -252,7 +263,7 @@
         if (echoed.empty() && m_connection->reused) {
             co_return exchange_status::broken; // may be a late answer to an earlier request on this connection
         }
-        if (echoed.empty() || echoed == id) {
+        if (echoed.empty() || echoed == m_requestId) {
             setReuseDeadline();
             co_return exchange_status::ok;
         }
@@ -266,6 +277,14 @@
     co_return exchange_status::broken;
 }
 
+void upstream_exchange::noteRefused()
+{
+    m_connection->refused.push_back(m_requestId);
+    if (m_connection->refused.size() > MAX_REFUSED_IDS) {
+        m_connection->refused.pop_front();
+    }
+}
+
 void upstream_exchange::storeHead()
 {
     const auto &message = m_parser->get();
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -50,9 +50,10 @@
     {
     }
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;   // bytes received and not yet parsed
-    steady_time reusableUntil{}; // the server may close the idle connection from then on
-    bool reused = false;         // has been used for an earlier exchange
+    beast::flat_buffer buffer;       // bytes received and not yet parsed
+    steady_time reusableUntil{};     // the server may close the idle connection from then on
+    bool reused = false;             // has been used for an earlier exchange
+    std::deque<std::string> refused; // ids of the last requests that the server refused on it, newest last
 };
 
 // Idle connections by server address.
@@ -63,8 +64,9 @@
         : m_context(context)
     {
     }
-    // Returns an idle connection that is still open and has no unread data, or null.
-    std::unique_ptr<upstream_connection> takeIdle(const std::string &address);
+    // Returns an idle connection that is still open and has no unread data, or null. None on which the server has refused the request
+    // before: a late copy of that refusal would be taken for a new one.
+    std::unique_ptr<upstream_connection> takeIdle(const std::string &address, const std::string &requestId);
     void giveBack(const std::string &address, std::unique_ptr<upstream_connection> connection);
     // Closes the idle connections of a server that may no longer know them, for example after a restart.
     void dropIdle(const std::string &address);
@@ -102,7 +104,7 @@
 class upstream_exchange
 {
 public:
-    upstream_exchange(upstream_pool &pool, std::string address);
+    upstream_exchange(upstream_pool &pool, std::string address, std::string requestId);
     // Returns the connection to the pool if the answer was read completely and the connection can be reused, else closes it.
     ~upstream_exchange();
     upstream_exchange(const upstream_exchange &) = delete;
@@ -111,8 +113,10 @@
     // Takes an idle connection from the pool unless `fresh` is set, or opens a new one.
     asio::awaitable<exchange_status> connect(bool fresh, steady_time until);
     asio::awaitable<exchange_status> send(const std::string &bytes, steady_time until);
-    // Reads the head of the answer with this request id; skips interim (1xx) answers and late answers to other requests.
-    asio::awaitable<exchange_status> readHead(const std::string &idHeader, const std::string &id, steady_time until);
+    // Reads the head of the answer to the request; skips interim (1xx) answers and late answers to other requests.
+    asio::awaitable<exchange_status> readHead(const std::string &idHeader, steady_time until);
+    // Notes that the answer is a refusal: the connection is not used for this request again.
+    void noteRefused();
     // Reads the next piece of the body. An empty piece with status ok means that the answer is complete.
     asio::awaitable<exchange_status> readPiece(std::string &piece, steady_time until);
     // Reads the whole body; `broken` if it is longer than `limit`.
@@ -158,6 +162,7 @@
 
     upstream_pool &m_pool;
     std::string m_address;
+    std::string m_requestId;
     std::unique_ptr<upstream_connection> m_connection;
     std::optional<head_parser> m_parser;
     answer_head m_head;
