A stage that goes on refusing is asked less and less often

Callers saw: after the crash of several servers streams were refused or cut because the retry budget was used up (SHORT). Cause: a first server refuses a path at once if a later stage is down or full, and names that stage. The stage was avoided for 150 to 600 ms by each instance for itself, so that dozens of instances went on asking for a server that was gone; each refusal costs a repeat. Why this works: such refusals are a failure kind of their own. Its backoff doubles up to 2.4 s, and is the shortest one again as soon as data passes through the stage; instances tell each other as of any failure.

--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -24,6 +24,7 @@
     {milliseconds(300), milliseconds(2000), 1},  // broken
     {milliseconds(150), milliseconds(600), 0},   // refused
     {milliseconds(300), milliseconds(2000), 3},  // error
+    {milliseconds(150), milliseconds(2400), 0},  // stage_refused: full for a moment, or down
 };
 
 constexpr int MAX_BACKOFF_DOUBLINGS = 5;
@@ -127,6 +128,8 @@
     if (isUnreachable(state.lastFailure)) {
         state.failures = 0;
         state.avoidUntil = {};
+    } else if (state.lastFailure == failure_kind::stage_refused) {
+        state.failures = 0;
     }
 }
 
@@ -159,7 +162,7 @@
 
 const char *toText(failure_kind kind)
 {
-    static constexpr const char *NAMES[] = {"unreachable", "silent", "broken", "refused", "error"};
+    static constexpr const char *NAMES[] = {"unreachable", "silent", "broken", "refused", "error", "stage_refused"};
     return NAMES[static_cast<int>(kind)];
 }
 
--- a/src/core/server_health.h
+++ b/src/core/server_health.h
@@ -15,11 +15,12 @@
 // Why a server is avoided.
 enum class failure_kind
 {
-    unreachable, // no connection could be made
-    silent,      // no data within the timeout
-    broken,      // connection lost or answer malformed
-    refused,     // the server states that it did not run the request
-    error,       // the server answered with an error
+    unreachable,   // no connection could be made
+    silent,        // no data within the timeout
+    broken,        // connection lost or answer malformed
+    refused,       // the server states that it did not run the request
+    error,         // the server answered with an error
+    stage_refused, // another server states that this one, a later stage of the path, did not take the request
 };
 
 // What a question to a server shows of its process.
@@ -66,7 +67,8 @@
     void noteSuccess(const std::string &address);
     // A new process serves at this address: clears all that concerns the previous process.
     void noteRestart(const std::string &address);
-    // Data was received from the server, possibly as a later stage of a path. Ends a backoff because it seemed unreachable or silent.
+    // Data was received from the server, possibly as a later stage of a path. Ends a backoff because it seemed unreachable or silent; the
+    // next one because it refused as a stage is the shortest again.
     void noteAlive(const std::string &address, steady_time now);
     // A peer avoids the server for this long. Ignored if this instance has just received data from the server.
     void notePeerAvoids(const std::string &address, failure_kind kind, milliseconds avoid, steady_time now);
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -530,7 +530,8 @@
     ++m_outcome.refused;
     m_outcome.lastEnd = attempt_end::refused;
     const std::string faulty(headerValue(head.headers, m_state.headerNames.faultyStage));
-    avoid(faulty.empty() ? address : faulty, failure_kind::refused);
+    const bool byStage = !faulty.empty() && faulty != address;
+    avoid(byStage ? faulty : address, byStage ? failure_kind::stage_refused : failure_kind::refused);
     logLine(log_level::debug, "path_refused", {{"request", m_facts.id}, {"status", std::to_string(head.status)}, {"at", faulty}, {"first", address}});
 }
 
--- a/src/gateway/generation_stalls.cpp
+++ b/src/gateway/generation_stalls.cpp
@@ -161,7 +161,7 @@
         if (!ordered || ordered->faulty.empty() || ordered->faulty == attempt->first().address) {
             break;
         }
-        avoid(ordered->faulty, failure_kind::refused);
+        avoid(ordered->faulty, failure_kind::stage_refused);
     }
     noteEmptyInquiry(attempt, attempt_end::stage_lost);
 }
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -98,7 +98,7 @@
             continue; // would spoil the sums over all peers
         }
         report.loads.push_back({entry.address(), static_cast<int>(entry.running()), entry.tokens(), milliseconds(entry.avoid_ms()),
-                                clampTo(entry.failure(), failure_kind::error)});
+                                clampTo(entry.failure(), failure_kind::stage_refused)});
     }
     return report;
 }
