Prompts no longer queue behind the network between failure domains

Cause: the activations of a prompt cross the network wherever a path hands over to another domain, one transfer after the other, 34 ms for 900 tokens at 3,440 Mbit/s. A domain that lacks a layer sent every prompt across, about 60 a second where 29 fit, for good; the cost of a hop assumed an idle network, and a first stage in another domain, to which no activations go, cost as much as a handover in the middle. Lost stages were replaced across the network as well, two transfers for each stream. A path may begin in another domain at the price of the delay; each handover counts the prompt as in transfer until its first data, instances share that sum in their load reports, it adds to the cost of a handover, and one that would wait longer than half of the objective is not made: the stream takes a path inside another domain, or is rejected at once. A stage is replaced between its neighbours' domains; without such a replacement the stream is resumed elsewhere if it may be.

--- a/src/core/layer_path.cpp
+++ b/src/core/layer_path.cpp
@@ -120,7 +120,7 @@
             double arrival = INFINITE;
             int from = -1;
             if (layer == 0) {
-                arrival = candidate.server->domain == query.from ? 0 : query.domainHopMs;
+                arrival = candidate.server->domain == query.from ? 0 : query.entryHopMs;
             }
             for (int domain = 0; domain < domains && layer > 0; ++domain) {
                 const int last = cheapest[layer][domain];
@@ -152,9 +152,16 @@
         }
     }
     int last = -1;
+    double least = INFINITE;
     for (int domain = 0; domain < domains; ++domain) {
         const int candidate = cheapest[layers][domain];
-        if (candidate >= 0 && (last < 0 || best[layers][candidate].cost < best[layers][last].cost)) {
+        if (candidate < 0) {
+            continue;
+        }
+        const bool leaves = query.to && candidates[candidate].server->domain != *query.to;
+        const double cost = best[layers][candidate].cost + (leaves ? query.domainHopMs : 0);
+        if (cost < least) {
+            least = cost;
             last = candidate;
         }
     }
--- a/src/core/layer_path.h
+++ b/src/core/layer_path.h
@@ -25,11 +25,13 @@
 
 struct path_query
 {
-    domain_id from;               // failure domain of this instance
+    domain_id from;               // failure domain of what comes before the first stage
+    std::optional<domain_id> to;  // failure domain of the stage that follows the last one, if there is one
     int layers = 0;               // of the model
     double tokens = 0;            // prompt plus expected output
     double stageOverheadMs = 1.0; // per stage: wait for the pass in progress
-    double domainHopMs = 4.0;     // per hop into another failure domain
+    double domainHopMs = 4.0;     // per hop from a stage to one in another failure domain; infinite = not possible now
+    double entryHopMs = 4.0;      // if the first stage is in another failure domain than this instance
     bool ignoreCapacity = false;  // also accept stages without free KV capacity or slots
 };
 
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -108,13 +108,13 @@
 asio::awaitable<std::optional<std::vector<path_stage>>> generation_flow::waitForPath()
 {
     const steady_time start = std::chrono::steady_clock::now();
-    const auto wait = m_facts.matched->eventGapObjective * MAX_CLIENT_PAUSES;
+    const milliseconds wait = clientPatience();
     asio::steady_timer timer(m_state.context);
     while (true) {
         const steady_time now = std::chrono::steady_clock::now();
-        auto path = m_state.choosePath(*service(), m_facts.tokens, m_avoided, false, now);
+        auto path = m_state.choosePath(demand(), m_avoided, false, now);
         if (!path && m_streamBegan) {
-            path = m_state.choosePath(*service(), m_facts.tokens, m_avoided, true, now);
+            path = m_state.choosePath(demand(), m_avoided, true, now);
         }
         if (path || !m_streamBegan || m_abandoned || now - start >= wait || overdue()) {
             co_return path;
@@ -227,6 +227,9 @@
     if (status != exchange_status::ok) {
         co_return noteBroken(attempt, exchange, status);
     }
+    if (attempt.load) {
+        attempt.load->noteTransferred();
+    }
     attempt.lastData = std::chrono::steady_clock::now();
     co_return opening_state::open;
 }
@@ -285,9 +288,9 @@
     // A server can't tell two attempts with the same request id apart.
     std::vector<std::string> excluded = m_avoided;
     excluded.push_back(m_current->first().address);
-    auto path = m_state.choosePath(*service(), m_facts.tokens, excluded, false, now);
+    auto path = m_state.choosePath(demand(), excluded, false, now);
     if (!path && !needsCapacity && m_streamBegan) {
-        path = m_state.choosePath(*service(), m_facts.tokens, excluded, true, now);
+        path = m_state.choosePath(demand(), excluded, true, now);
     }
     if (!path || !m_state.budgetOf(m_facts.service).takeRepeat(now)) {
         return false;
@@ -363,6 +366,7 @@
         }
         attempt.lastData = std::chrono::steady_clock::now();
         attempt.exposure->noteData(attempt.lastData);
+        attempt.load->noteTransferred();
         dropSecond();
     }
     if (attempt.splitter.pendingBytes() > 0) {
@@ -485,7 +489,7 @@
 void generation_flow::reportNoPath()
 {
     const steady_time now = std::chrono::steady_clock::now();
-    const path_gap gap = m_state.explainNoPath(*service(), m_facts.tokens, m_avoided, now);
+    const path_gap gap = m_state.explainNoPath(demand(), m_avoided, now);
     m_state.counters.count("paths_missing", {{"obstacle", toText(gap.failureReason)}});
     if (m_state.logLimiter.take(now)) {
         logLine(log_level::info, "path_missing",
@@ -543,6 +547,16 @@
     }
 }
 
+milliseconds generation_flow::clientPatience() const
+{
+    return m_facts.matched->eventGapObjective * MAX_CLIENT_PAUSES;
+}
+
+path_demand generation_flow::demand() const
+{
+    return {*service(), m_facts.tokens, m_facts.matched->objective, clientPatience()};
+}
+
 const service_profile *generation_flow::service() const
 {
     const auto found = m_facts.config->services.find(m_facts.service);
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -109,11 +109,9 @@
     bool leaveQueue(const attempt_ptr &attempt);
     // The attempt's path with other stages in place of the lost ones. Nothing if the first stage is the lost one, or if there are no
     // replacements.
-    std::optional<std::vector<path_stage>> pathAround(const stream_attempt &attempt, const std::string &lostAddress) const;
+    std::optional<std::vector<path_stage>> pathAround(const stream_attempt &attempt, const std::string &lostAddress, bool ignoreCapacity) const;
     // True if this request has found that the stage does not go on, or if its server does not respond to anybody.
     bool isLost(const path_stage &stage, steady_time now) const;
-    // Stages for a range of layers at servers outside `used`; with free KV capacity if there are such.
-    std::optional<std::vector<path_stage>> replacementFor(layer_range range, const std::vector<path_stage> &used, steady_time now) const;
 
     //-- Helpers --
     // Counts and logs why no path was found: layers that no server holds, servers that have just failed, or too little KV capacity.
@@ -126,6 +124,10 @@
     void noteRefusal(const answer_head &head, const std::string &address);
     void avoid(const std::string &address, failure_kind kind);
     const service_profile *service() const;
+    // A client whose stream has begun is expected to stay connected for so long without an event.
+    milliseconds clientPatience() const;
+    // What the request asks of a path; only if there is a service().
+    path_demand demand() const;
 
     attempt_ptr m_current;                         // null between two attempts
     attempt_ptr m_second;                          // asked because the current one is silent; null if there is none
--- a/src/gateway/generation_stalls.cpp
+++ b/src/gateway/generation_stalls.cpp
@@ -121,7 +121,14 @@
 {
     const steady_time lastData = attempt->lastData;
     for (int tries = 0; tries < MAX_REPATHS; ++tries) {
-        const auto path = pathAround(*attempt, lostAddress);
+        auto path = pathAround(*attempt, lostAddress, false);
+        if (!path && attempt == m_current && (m_second || startSecond(attempt_end::stage_lost, true))) {
+            ++attempt->emptyInquiries;
+            co_return;
+        }
+        if (!path) {
+            path = pathAround(*attempt, lostAddress, true);
+        }
         const bool quiet = m_state.health.isQuiet(attempt->first().address, std::chrono::steady_clock::now());
         if (!path || quiet) {
             const char *reason = quiet ? "the first server asked for a quiet period" : "no replacement";
@@ -179,7 +186,7 @@
     return attempt == m_current && startSecond(attempt_end::queued, true);
 }
 
-std::optional<std::vector<path_stage>> generation_flow::pathAround(const stream_attempt &attempt, const std::string &lostAddress) const
+std::optional<std::vector<path_stage>> generation_flow::pathAround(const stream_attempt &attempt, const std::string &lostAddress, bool ignoreCapacity) const
 {
     const steady_time now = std::chrono::steady_clock::now();
     const std::vector<path_stage> &stages = attempt.path;
@@ -198,7 +205,8 @@
         for (; stage != stages.end() && mustGo(*stage); ++stage) {
             range.last = stage->range.last;
         }
-        const auto replacement = replacementFor(range, used, now);
+        const stage_neighbours neighbours{path.back().domain, stage == stages.end() ? std::nullopt : std::optional(stage->domain)};
+        const auto replacement = m_state.chooseReplacement(demand(), range, neighbours, used, m_avoided, ignoreCapacity, now);
         if (!replacement) {
             return std::nullopt;
         }
@@ -214,15 +222,6 @@
     return avoidedHere || m_state.health.unresponsive(stage.address, now);
 }
 
-std::optional<std::vector<path_stage>> generation_flow::replacementFor(layer_range range, const std::vector<path_stage> &used, steady_time now) const
-{
-    auto replacement = m_state.chooseReplacement(*service(), range, m_facts.tokens, used, m_avoided, false, now);
-    if (!replacement) {
-        replacement = m_state.chooseReplacement(*service(), range, m_facts.tokens, used, m_avoided, true, now);
-    }
-    return replacement;
-}
-
 bool generation_flow::isOwnDelay(steady_time due) const
 {
     const steady_time now = std::chrono::steady_clock::now();
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -11,16 +11,9 @@
 
 constexpr milliseconds FORMER_LIMITS_TIME{10'000}; // an older configuration may be in force elsewhere for so long
 constexpr milliseconds MAX_REPORT_AGE{1000};       // older load reports of a server are ignored
+constexpr int TRANSFER_SHARE = 2;                  // of the objective for a first event, one in this many parts may be spent on transfers
 constexpr double PASS_WAIT_MS = 1.2;               // mean wait per stage until the server's current pass ends
-constexpr double DOMAIN_HOP_PENALTY_MS = 5.0;      // penalty per token for a hop into another failure domain
-constexpr double TRANSFER_TIME_WEIGHT = 0.3;       // fraction of a prompt's link time, in which other requests wait, that is added to the hop penalty
-
-// Time for which a prompt of this size occupies the shared link between two failure domains.
-double interDomainTransferMs(const engine_profile &engine, double tokens)
-{
-    constexpr double BITS_PER_MS = 1000; // 1 Mbit/s
-    return engine.interDomainMbps > 0 ? tokens * engine.activationBytes * 8 / (engine.interDomainMbps * BITS_PER_MS) : 0;
-}
+constexpr double ENTRY_HOP_PENALTY_MS = 5.0;       // penalty per token for a first stage in another failure domain, which gets no activations from here
 
 bool containsAddress(const std::vector<std::string> &addresses, const std::string &address)
 {
@@ -126,6 +119,9 @@
             loads.push_back({address, state.running, state.tokens, pause, state.lastFailure});
         }
     }
+    if (linkTokens > 0) {
+        loads.push_back({DOMAIN_LINK_NAME, 0, linkTokens, milliseconds(0), failure_kind::broken});
+    }
     return loads;
 }
 
@@ -220,36 +216,39 @@
     return found;
 }
 
-path_query traffic_state::pathQuery(const service_profile &service, double tokens, bool ignoreCapacity) const
+path_query traffic_state::pathQuery(const path_demand &demand, bool ignoreCapacity, steady_time now)
 {
+    const engine_profile &engine = *demand.service.engine;
+    const milliseconds patience = ignoreCapacity ? demand.clientPatience : demand.objective / TRANSFER_SHARE;
     path_query query;
     query.from = domain_id{settings.failureDomain};
-    query.layers = service.engine->layers;
-    query.tokens = tokens;
+    query.layers = engine.layers;
+    query.tokens = demand.tokens;
     query.stageOverheadMs = PASS_WAIT_MS;
-    query.domainHopMs = DOMAIN_HOP_PENALTY_MS + TRANSFER_TIME_WEIGHT * interDomainTransferMs(*service.engine, tokens);
+    query.domainHopMs = domainHopCostMs(engine, {linkTokens + peers.tokens(DOMAIN_LINK_NAME, now), patience}, demand.tokens);
+    query.entryHopMs = ENTRY_HOP_PENALTY_MS;
     query.ignoreCapacity = ignoreCapacity;
     return query;
 }
 
-std::optional<std::vector<path_stage>> traffic_state::choosePath(const service_profile &service, double tokens, const std::vector<std::string> &avoid,
-                                                                 bool ignoreCapacity, steady_time now)
+std::optional<std::vector<path_stage>> traffic_state::choosePath(const path_demand &demand, const std::vector<std::string> &avoid, bool ignoreCapacity,
+                                                                 steady_time now)
 {
-    return findPath(candidates(service, avoid, now), pathQuery(service, tokens, ignoreCapacity));
+    return findPath(candidates(demand.service, avoid, now), pathQuery(demand, ignoreCapacity, now));
 }
 
-path_gap traffic_state::explainNoPath(const service_profile &service, double tokens, const std::vector<std::string> &avoid, steady_time now)
+path_gap traffic_state::explainNoPath(const path_demand &demand, const std::vector<std::string> &avoid, steady_time now)
 {
     std::vector<layer_range> holders;
     for (const auto &[id, server] : fleet->servers) {
-        if (server.service == service.id && !isLeaving(server) && server.held.count() > 0) {
+        if (server.service == demand.service.id && !isLeaving(server) && server.held.count() > 0) {
             holders.push_back(server.held);
         }
     }
-    return chestnut::explainNoPath(holders, candidates(service, avoid, now), pathQuery(service, tokens, false));
+    return chestnut::explainNoPath(holders, candidates(demand.service, avoid, now), pathQuery(demand, false, now));
 }
 
-std::optional<std::vector<path_stage>> traffic_state::chooseReplacement(const service_profile &service, layer_range range, double tokens,
+std::optional<std::vector<path_stage>> traffic_state::chooseReplacement(const path_demand &demand, layer_range range, const stage_neighbours &neighbours,
                                                                         const std::vector<path_stage> &path, const std::vector<std::string> &avoid,
                                                                         bool ignoreCapacity, steady_time now)
 {
@@ -258,7 +257,7 @@
         excluded.push_back(stage.address);
     }
     // Layer numbers are shifted to start at 0, as findPath() expects.
-    std::vector<stage_candidate> all = candidates(service, excluded, now);
+    std::vector<stage_candidate> all = candidates(demand.service, excluded, now);
     std::vector<listed_server> shifted;
     shifted.reserve(all.size());
     for (stage_candidate &candidate : all) {
@@ -267,8 +266,11 @@
         shifted.push_back(server);
         candidate.server = &shifted.back();
     }
-    path_query query = pathQuery(service, tokens, ignoreCapacity);
+    path_query query = pathQuery(demand, ignoreCapacity, now);
     query.layers = range.count();
+    query.from = neighbours.before;
+    query.entryHopMs = query.domainHopMs;
+    query.to = neighbours.behind;
     std::optional<std::vector<path_stage>> found = findPath(all, query);
     if (found) {
         for (path_stage &stage : *found) {
@@ -278,30 +280,45 @@
     return found;
 }
 
-path_load::path_load(server_health &health, const std::vector<path_stage> &path, double tokens)
-    : m_health(health)
+path_load::path_load(traffic_state &state, const std::vector<path_stage> &path, double tokens)
+    : m_state(state)
     , m_path(path)
     , m_tokens(tokens)
 {
     add(1);
+    addTransfer(countDomainHops(path));
 }
 
 path_load::~path_load()
 {
+    noteTransferred();
     add(-1);
 }
 
 void path_load::move(const std::vector<path_stage> &path)
 {
+    noteTransferred();
+    addTransfer(countNewDomainHops(m_path, path));
     add(-1);
     m_path = path;
     add(1);
 }
 
+void path_load::noteTransferred()
+{
+    m_state.linkTokens -= std::exchange(m_inTransfer, 0);
+}
+
+void path_load::addTransfer(int hops)
+{
+    m_inTransfer = m_tokens * hops;
+    m_state.linkTokens += m_inTransfer;
+}
+
 void path_load::add(double sign)
 {
     for (const path_stage &stage : m_path) {
-        server_state &state = m_health.of(stage.address);
+        server_state &state = m_state.health.of(stage.address);
         state.tokens += sign * m_tokens;
         state.running += &stage == &m_path.front() ? static_cast<int>(sign) : 0;
     }
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -3,6 +3,7 @@
 // State of the traffic thread, which handles requests: configuration and servers in force, observed server health, work in
 // flight. Only this thread accesses it; the control thread passes immutable snapshots to it.
 
+#include "core/domain_link.h"
 #include "core/gateway_types.h"
 #include "core/layer_path.h"
 #include "core/part_quarantine.h"
@@ -55,6 +56,22 @@
     std::uint64_t m_dropped = 0;
 };
 
+// What a generation asks of a path.
+struct path_demand
+{
+    const service_profile &service;
+    double tokens = 0;              // of prompt and expected answer
+    milliseconds objective{0};      // for its first event
+    milliseconds clientPatience{0}; // a client whose stream has begun stays connected for so long without an event
+};
+
+// Failure domains of the stages between which others are to be put.
+struct stage_neighbours
+{
+    domain_id before;
+    std::optional<domain_id> behind; // nothing if the last stage is to be replaced
+};
+
 class traffic_state
 {
 public:
@@ -85,6 +102,7 @@
     steady_time drainEnd{};              // latest end of the process; valid while draining
     int openRequests = 0;                // received, not fully answered yet
     std::size_t bufferedAnswerBytes = 0; // of plain answers that are being received
+    double linkTokens = 0;               // of this instance's prompts that are on their way between failure domains
     milliseconds trafficDelay{0};        // last measured lateness of a timer of the traffic thread
     milliseconds controlDelay{0};        // last measured time from posting a task to the control thread until it ran
     steady_time controlProbeSent{};      // when the task was posted that the control thread has not run yet; 0 = none
@@ -122,19 +140,19 @@
     // quiet period. Contains avoided servers only if there are no others.
     std::vector<const listed_server *> serversByLoad(const service_id &service, const std::vector<std::string> &tried, steady_time now);
 
-    // Returns the cheapest complete path that uses no address in `avoid`, or nothing if there is none. `tokens` is the size of
-    // prompt and expected answer; `ignoreCapacity` accepts servers without enough free KV capacity or slots.
-    std::optional<std::vector<path_stage>> choosePath(const service_profile &service, double tokens, const std::vector<std::string> &avoid, bool ignoreCapacity,
-                                                      steady_time now);
+    // Returns the cheapest complete path that uses no address in `avoid`, or nothing if there is none. `ignoreCapacity` accepts servers
+    // without enough free KV capacity or slots, and a network between failure domains that is backed up.
+    std::optional<std::vector<path_stage>> choosePath(const path_demand &demand, const std::vector<std::string> &avoid, bool ignoreCapacity, steady_time now);
     // Explains why choosePath() found no path.
-    path_gap explainNoPath(const service_profile &service, double tokens, const std::vector<std::string> &avoid, steady_time now);
-    // Returns stages for the layers of `range` that use neither a server of `path` nor an address in `avoid`, or nothing.
-    std::optional<std::vector<path_stage>> chooseReplacement(const service_profile &service, layer_range range, double tokens,
+    path_gap explainNoPath(const path_demand &demand, const std::vector<std::string> &avoid, steady_time now);
+    // Returns stages for the layers of `range` that use neither a server of `path` nor an address in `avoid`, or nothing. The neighbours
+    // are the stages before and behind the range.
+    std::optional<std::vector<path_stage>> chooseReplacement(const path_demand &demand, layer_range range, const stage_neighbours &neighbours,
                                                              const std::vector<path_stage> &path, const std::vector<std::string> &avoid, bool ignoreCapacity,
                                                              steady_time now);
 
 private:
-    path_query pathQuery(const service_profile &service, double tokens, bool ignoreCapacity) const;
+    path_query pathQuery(const path_demand &demand, bool ignoreCapacity, steady_time now);
     std::vector<stage_candidate> candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now);
 
     // Limits of a configuration that was replaced.
@@ -178,22 +196,27 @@
 };
 
 // Adds a generation's tokens to the load of the servers on its path and a running request to the first; removes both on destruction.
+// Until noteTransferred() its prompt also loads the network between failure domains, once for each hop.
 class path_load
 {
 public:
-    path_load(server_health &health, const std::vector<path_stage> &path, double tokens);
+    path_load(traffic_state &state, const std::vector<path_stage> &path, double tokens);
     ~path_load();
     path_load(const path_load &) = delete;
     path_load &operator=(const path_load &) = delete;
-    // Transfers the load to another path.
+    // Transfers the load to another path; what the new stages need crosses the network again.
     void move(const std::vector<path_stage> &path);
+    // Data of the answer has arrived, so that the prompt has passed every stage.
+    void noteTransferred();
 
 private:
     void add(double sign);
+    void addTransfer(int hops);
 
-    server_health &m_health;
+    traffic_state &m_state;
     std::vector<path_stage> m_path;
     double m_tokens;
+    double m_inTransfer = 0; // tokens times hops
 };
 
 }
