Soak: clients that leave at random moments, judged by when their requests reach servers

The judge of GONE needed three late releases and often had fewer clients that left, so that its own fault (keep_on) was caught in one of two plays. Now four clients beside those that are drawn leave each time: at once, after a while, in mid-stream, behind pipelined requests. The judge also fails if more than a quarter of the runs whose client left go on, and a second one counts requests that reach a server half a second after their client left, also while the gateway is paused by a signal. The draws of the other clients are unchanged.

--- a/scripts/prove-soak.sh
+++ b/scripts/prove-soak.sh
@@ -5,7 +5,7 @@
 BUILD=${1:-build}
 SEED=${2:-1}
 failed=0
-for proof in twice:TWICE drop_event:ORDER foreign:MIXED ran:REFUSED keep_on:GONE break_off:LOST lost_key:CONFIG late_drain:DRAIN gap:LAYERS no_quarantine:BUDGET:7:12 unsaid:QUIET \
+for proof in twice:TWICE drop_event:ORDER foreign:MIXED ran:REFUSED keep_on:GONE arrives_late:GONE break_off:LOST lost_key:CONFIG late_drain:DRAIN gap:LAYERS no_quarantine:BUDGET:7:12 unsaid:QUIET \
     twice:TWICE:5:10:yes drop_event:ORDER:5:10:yes foreign:MIXED:5:10:yes ran:REFUSED:5:10:yes break_off:LOST:5:10:yes; do
     IFS=: read -r fault rule seed seconds wireFaults <<< "$proof" # a seed and a length of its own where the fault needs them; wire faults
     out=$("$BUILD/bin/chestnutgw-soak" --set "soak.seed=${seed:-$SEED}" --set "soak.seconds=${seconds:-10}" --set "soak.wire_faults=${wireFaults:-no}" --set "soak.folder=$BUILD/soak-$fault" --set "soak.fault=$fault" | tail -1)
--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -25,7 +25,7 @@
 constexpr milliseconds BYTE_INTERVAL{3};       // between two bytes of an answer that is sent byte by byte
 constexpr milliseconds ENDLESS_TIME{3000};     // of an answer without end
 constexpr milliseconds COPY_DELAY{40};         // from the end of an answer to its second copy
-constexpr milliseconds KEPT_ON{1500};          // by the seeded fault keep_on
+constexpr milliseconds KEPT_ON{1500};          // by the seeded faults keep_on and arrives_late
 constexpr milliseconds ACCEPT_STEP{20};        // between two checks whether to go on listening
 constexpr const char *SIGNATURE = "X-Chestnutgw-Response-Signature: s.1\r\n";
 
@@ -319,7 +319,7 @@
     run entry;
     entry.id = id;
     entry.service = m_plan.service;
-    entry.arrived = arrived;
+    entry.arrived = arrived + (m_all.fault == seeded_fault::arrives_late ? KEPT_ON : milliseconds(0));
     entry.crashing = namesCrashingPart(in.header("x-chestnutgw-prefix-hash"));
     std::vector<stage> path = m_plan.held.to > 0 ? parsePath(in.header("x-chestnutgw-hop-count")) : std::vector<stage>();
     if (m_plan.held.to > 0 && (!coversLayers(path) || m_all.fault == seeded_fault::gap)) {
--- a/tests/soak/client.cpp
+++ b/tests/soak/client.cpp
@@ -72,6 +72,21 @@
     }
 }
 
+void client::runLeaving()
+{
+    constexpr std::size_t MAX_PIPELINED = 4;
+    while (!m_environment.stopping()) {
+        reconnect();
+        std::vector<request> batch{newRequest(static_cast<request_kind>(draw(4)))};
+        while (batch.size() < MAX_PIPELINED && draw(3) == 0) {
+            batch.push_back(newRequest(static_cast<request_kind>(draw(4))));
+        }
+        exchange(batch, draw(3) == 0 ? manner::leaves_at_once : manner::leaves);
+        m_wire->close();
+        std::this_thread::sleep_for(milliseconds(draw(150)));
+    }
+}
+
 void client::reconnect()
 {
     m_front = m_environment.pickFront(m_random());
@@ -115,6 +130,7 @@
     const bool sent = m_wire->connected() && m_wire->send(bytes);
     milliseconds begun = m_environment.book.now();
     bool closing = false; // the last answer announced the close of the connection
+    bool left = false;    // the client closed it before that answer was complete
     for (std::size_t i = 0; i < batch.size(); ++i) {
         attempt &entry = attempts[i];
         entry.sent = begun;
@@ -122,8 +138,10 @@
         if (m_wire->connected() && !entry.crossed) {
             readAnswer(entry, batch[i], how);
             closing = !m_wire->connected() && entry.complete;
+            left = entry.left;
         } else {
             entry.crossed = true;
+            entry.left = left;
             entry.how = "not read";
         }
         entry.ended = begun = m_environment.book.now();
@@ -141,7 +159,9 @@
     limits.gap = isStream(one.kind) ? STREAM_GAP : DEADLINE;
     limits.until = one.deadline;
     const std::size_t leaveAfter = isStream(one.kind) ? static_cast<std::size_t>(draw(400)) : static_cast<std::size_t>(draw(40'000));
-    if (how == manner::leaves && draw(2) == 0) {
+    if (how == manner::leaves_at_once) {
+        limits.until = std::chrono::steady_clock::now();
+    } else if (how == manner::leaves && draw(2) == 0) {
         limits.until = std::chrono::steady_clock::now() + milliseconds(draw(300));
     } else if (how == manner::leaves) {
         limits.onData = [leaveAfter](const http_message &seen) { return seen.body.size() < leaveAfter; };
--- a/tests/soak/client.h
+++ b/tests/soak/client.h
@@ -39,6 +39,9 @@
     client(client_environment &environment, int seed, int number);
     // Plays requests until the environment is stopping.
     void run();
+    // The same for a client that leaves each time before all its answers are complete: at once, so that its requests may not have been
+    // read, after a while, in mid-stream, or behind pipelined requests.
+    void runLeaving();
 
 private:
     // A request with the time and the attempts that are left.
@@ -54,8 +57,9 @@
     enum class manner
     {
         usual,
-        leaves, // closes its connection before the answer is complete
-        slow    // reads slowly
+        leaves,         // closes its connection before the answer is complete
+        leaves_at_once, // closes it as soon as the requests are sent
+        slow            // reads slowly
     };
 
     int draw(int count);
--- a/tests/soak/content.cpp
+++ b/tests/soak/content.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr const char *FAULT_NAMES[]
-    = {"none", "twice", "drop_event", "foreign", "ran", "keep_on", "break_off", "lost_key", "late_drain", "gap", "no_quarantine", "unsaid"};
+    = {"none", "twice", "drop_event", "foreign", "ran", "keep_on", "break_off", "lost_key", "late_drain", "gap", "no_quarantine", "arrives_late", "unsaid"};
 constexpr const char *CRASHING_PART = "bad0:50,";
 
 // A number from 0 to count - 1, drawn by a subject and a purpose.
--- a/tests/soak/content.h
+++ b/tests/soak/content.h
@@ -26,6 +26,7 @@
     late_drain,    // a server says that it drains without an entry in the store
     gap,           // a server reads a path as if a layer were missing
     no_quarantine, // gateways are set to quarantine no part of a prompt
+    arrives_late,  // a server notes requests as if they had reached it later
     unsaid,        // a server leaves out of its answers that it leaves or wants quiet
 };
 
--- a/tests/soak/judges.cpp
+++ b/tests/soak/judges.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds QUIET_SLACK{500}; // from a refusal until the gateway sends that server nothing
 constexpr std::size_t MAX_IN_QUIET = 2;  // requests on their way by then
 constexpr std::size_t MAX_LATE_RELEASES = 2;
+constexpr std::size_t MAX_LATE_SHARE = 4; // nor more than one in this many of the runs whose client left
+constexpr std::size_t MAX_LATE_ARRIVALS = 2;
 constexpr std::size_t ENDS_UNTIL_KNOWN = 5;   // of servers under one part of a prompt
 constexpr std::size_t MAX_LATER_ARRIVALS = 3; // of requests with that part
 
@@ -52,15 +54,19 @@
             judgeLost(one);
             countEarlyFailure(one);
             judgeRuns(one);
+            judgeArrival(one);
             judgeReleased(one);
             judgeConfig(one);
             judgeDrain(one);
         }
         judgeCrashingPart();
         judgeSaid();
-        if (m_late.size() > MAX_LATE_RELEASES) {
+        if (m_late.size() > MAX_LATE_RELEASES || m_late.size() * MAX_LATE_SHARE > m_left) {
             m_result.broken.insert(m_result.broken.end(), m_late.begin(), m_late.end());
         }
+        if (m_lateArrivals.size() > MAX_LATE_ARRIVALS) {
+            m_result.broken.insert(m_result.broken.end(), m_lateArrivals.begin(), m_lateArrivals.end());
+        }
         std::stable_sort(m_result.broken.begin(), m_result.broken.end(), [](const finding &left, const finding &right) { return left.to < right.to; });
         return m_result;
     }
@@ -191,6 +197,24 @@
         }
     }
 
+    // A request whose client has left reaches no server later, also if its gateway was paused meanwhile: the close arrives in any case.
+    void judgeArrival(const attempt &one)
+    {
+        if (!one.left) {
+            return;
+        }
+        for (const run &seen : runsOf(one)) {
+            const bool excused = disturbed("rig", one.ended, seen.arrived) || linkDisturbed(seen, one.sent, seen.arrived)
+                || disturbed(one.gateway + CLIENT_LINK, one.sent, seen.arrived);
+            if (seen.arrived > one.ended + RELEASE_TIME && !excused) {
+                m_lateArrivals.push_back({"GONE", one.id, one.sent, one.ended,
+                                          seen.server + " got it at " + std::to_string(seen.arrived.count()) + ", "
+                                              + std::to_string((seen.arrived - one.ended).count()) + " ms after the client left"});
+            }
+        }
+    }
+
+    // The servers of a client that left are released, of those that would have worked on.
     void judgeReleased(const attempt &one)
     {
         if (!one.left || one.kind == request_kind::once || !inTouch(one)) {
@@ -198,6 +222,7 @@
         }
         for (const run &seen : runsOf(one)) {
             const bool excused = disturbed("rig", one.ended, one.ended + RELEASE_TIME) || linkDisturbed(seen, one.sent, one.ended + RELEASE_TIME);
+            m_left += seen.executed && seen.ended > one.ended && !excused ? 1 : 0;
             if (seen.executed && seen.ended > one.ended + RELEASE_TIME && !excused) {
                 m_late.push_back({"GONE", one.id, one.sent, one.ended,
                                   seen.server + " worked until " + std::to_string(seen.ended.count()) + ", " + std::to_string((seen.ended - one.ended).count())
@@ -337,6 +362,8 @@
     const evidence &m_seen;
     verdicts m_result;
     std::vector<finding> m_late;                    // released too late
+    std::size_t m_left = 0;                         // runs that were going on when their client left
+    std::vector<finding> m_lateArrivals;            // reached a server after their client had left
     std::map<std::string, milliseconds> m_accepted; // process and key -> first answer
 };
 
--- a/tests/soak/rig.cpp
+++ b/tests/soak/rig.cpp
@@ -12,6 +12,7 @@
 
 using nlohmann::json;
 
+constexpr int LEAVING_CLIENTS = 4; // beside those that are drawn
 constexpr milliseconds STEP{10};
 constexpr milliseconds LATE{200};               // a rig that is later than this cannot judge times
 constexpr milliseconds READY_INTERVAL{1000};    // between two readiness checks
@@ -188,10 +189,12 @@
             apply(one);
         });
     }
-    m_playing = m_drawn.clients;
-    for (int i = 0; i < m_drawn.clients; ++i) {
+    const int all = m_drawn.clients + LEAVING_CLIENTS;
+    m_playing = all;
+    for (int i = 0; i < all; ++i) {
         m_clients.emplace_back([this, i] {
-            client(m_environment, m_seed, i).run();
+            client one(m_environment, m_seed, i);
+            i < m_drawn.clients ? one.run() : one.runLeaving();
             --m_playing;
         });
     }
