Gateway: answers, second attempts and paths stand in files of their own

The completion token that stood in two files and was spelled out in eight more is gateway/completion.h. path_missing tells how long a prompt would wait for the network between failure domains. No decision changes; the tests of the gateway's connections, paths and attempts pass.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -1,16 +1,13 @@
 #include "gateway/client_session.h"
 
+#include "gateway/completion.h"
 #include "gateway/headers.h"
 #include "gateway/request_limits.h"
 #include "gateway/request_log.h"
 #include "kernel/scope.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
-#include <array>
-#include <charconv>
 #include <netinet/tcp.h>
 #include <poll.h>
 
@@ -23,7 +20,6 @@
 using boost::system::error_code;
 
 constexpr milliseconds UNKNOWN_CONFIG_RETRY{400}; // Retry-After: a starting instance has loaded its configuration by then
-constexpr milliseconds WRITE_TIMEOUT{5000};       // a client that accepts no data for this long is disconnected
 constexpr milliseconds CLOSING_WAIT{200};         // time for a request that the client may have sent before it learns that the connection closes
 constexpr milliseconds CLOSE_LINGER{500};         // a closing connection waits this long for the client to close it too
 constexpr std::size_t BODY_READ_BYTES = 64 * 1024;
@@ -36,11 +32,6 @@
 constexpr milliseconds RESTART_TIME{900};               // from the end of a process until the restarted one accepts requests
 constexpr milliseconds RETRY_JITTER{1000};              // random spread, so that the clients of a restarting instance do not all return at once
 
-auto into(error_code &error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
-
 // True if the peer has closed the connection, also behind data that was not read.
 bool hasHungUp(int socket)
 {
@@ -439,108 +430,4 @@
     }
 }
 
-//-----------------------------------------------------------------------------
-// Answers
-//-----------------------------------------------------------------------------
-
-asio::awaitable<bool> client_session::writeAll(const std::string &bytes)
-{
-    if (m_clientGone || m_cut) {
-        co_return false;
-    }
-    error_code error;
-    std::size_t sent = 0;
-    while (sent < bytes.size() && !error) {
-        startTimeout(std::chrono::steady_clock::now() + WRITE_TIMEOUT);
-        sent += co_await m_socket.async_write_some(asio::buffer(bytes) + sent, into(error));
-        stopTimeout();
-    }
-    if (error && !m_clientGone) {
-        handleClientGone(error == asio::error::operation_aborted ? client_end::not_reading : client_end::reset);
-    }
-    co_return !error;
-}
-
-std::string client_session::encodeHead(int status, const header_list &headers) const
-{
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
-    const auto phrase = http::obsolete_reason(static_cast<http::status>(status));
-    text.append(phrase.data(), phrase.size()).append("\r\n");
-    for (const auto &[name, value] : headers) {
-        text += name + ": " + value + "\r\n";
-    }
-    text += m_keepAlive ? "Connection: keep-alive\r\n" : "Connection: close\r\n";
-    return text;
-}
-
-asio::awaitable<bool> client_session::respond(int status, const header_list &headers, const std::string &body)
-{
-    m_keepAlive = m_keepAlive && !m_state.draining;
-    m_answer = answer_progress::begun;
-    std::string text = encodeHead(status, headers);
-    const bool noBody = status == 204 || status == 304;
-    if (!noBody) {
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    }
-    text += "\r\n";
-    if (!noBody && !m_isHeadRequest) {
-        text += body;
-    }
-    const bool sent = co_await writeAll(text);
-    m_answer = answer_progress::complete;
-    co_return sent;
-}
-
-asio::awaitable<bool> client_session::beginStream(int status, const header_list &headers)
-{
-    m_keepAlive = m_keepAlive && !m_state.draining;
-    m_answer = answer_progress::begun;
-    const std::string text = encodeHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n";
-    co_return co_await writeAll(text);
-}
-
-asio::awaitable<bool> client_session::writeStream(const std::string &bytes)
-{
-    std::array<char, 20> size{};
-    const auto [end, error] = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
-    std::string text(size.data(), end);
-    text.append("\r\n").append(bytes).append("\r\n");
-    co_return co_await writeAll(text);
-}
-
-asio::awaitable<bool> client_session::finishStream()
-{
-    const std::string text = "0\r\n\r\n";
-    const bool sent = co_await writeAll(text);
-    m_answer = answer_progress::complete;
-    co_return sent;
-}
-
-void client_session::cut()
-{
-    m_cut = true;
-    m_keepAlive = false;
-    error_code ignored; // the connection is over either way
-    m_socket.close(ignored);
-}
-
-asio::awaitable<void> client_session::rejectRequest(int status, const char *reason, const std::string &id, milliseconds retryAfter)
-{
-    m_state.counters.count("requests_rejected", {{"reason", reason}});
-    const steady_time now = std::chrono::steady_clock::now();
-    log_line_limiter &limiter = isClientError(status) ? m_state.clientErrorLimiter : m_state.logLimiter;
-    if (limiter.take(now)) {
-        const auto configAge = std::chrono::duration_cast<milliseconds>(now - m_state.configSince);
-        logLine(log_level::info, "request_rejected",
-                {{"request", id},
-                 {"status", std::to_string(status)},
-                 {"reason", reason},
-                 {"config", m_state.config ? std::to_string(m_state.config->version) : "none"},
-                 {"config_age_ms", m_state.config ? std::to_string(configAge.count()) : ""}});
-    }
-    const header_list headers = errorHeaders(m_state.headerNames, id, retryAfter);
-    const std::string body = errorBody(reason);
-    co_await respond(status, headers, body);
-}
-
 }
--- a/src/gateway/front_server.cpp
+++ b/src/gateway/front_server.cpp
@@ -1,10 +1,9 @@
 #include "gateway/front_server.h"
 
+#include "gateway/completion.h"
 #include "gateway/spawn.h"
 
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -90,14 +89,14 @@
     while (m_clientAcceptor.is_open()) {
         error_code error;
         tcp::socket socket(m_state.context);
-        co_await m_clientAcceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        co_await m_clientAcceptor.async_accept(socket, into(error));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
         if (error) {
             logLine(log_level::warning, "accept_failed", {{"error", error.message()}});
             pause.expires_after(ACCEPT_RETRY);
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            co_await pause.async_wait(into(error));
             continue;
         }
         startSession(std::move(socket));
@@ -120,7 +119,7 @@
     while (m_readinessAcceptor.is_open()) {
         error_code error;
         tcp::socket socket(m_state.context);
-        co_await m_readinessAcceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        co_await m_readinessAcceptor.async_accept(socket, into(error));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
@@ -138,7 +137,7 @@
     while (!error) {
         http::request<http::empty_body> check;
         stream.expires_after(CHECK_TIMEOUT);
-        co_await http::async_read(stream, buffer, check, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read(stream, buffer, check, into(error));
         if (error) {
             break; // the checking client has closed the connection, or its request is invalid or late
         }
@@ -148,7 +147,7 @@
             logLine(log_level::info, ready ? "ready" : "not_ready", {{"draining", m_state.draining ? "yes" : "no"}});
         }
         const std::string answer = ready ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" : "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-        co_await asio::async_write(stream, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_write(stream, asio::buffer(answer), into(error));
     }
 }
 
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -1,17 +1,16 @@
 #include "gateway/generation_flow.h"
 
+#include "gateway/completion.h"
 #include "gateway/spawn.h"
 #include "kernel/scope.h"
 
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <utility>
 
-// Sections: attempts, second attempt beside a silent one, forwarding, helpers. Stalls are handled in generation_stalls.cpp, servers that
-// end under a request in generation_parts.cpp.
+// Sections: attempts, forwarding, helpers. Second attempts are in generation_second.cpp, stalls in generation_stalls.cpp, servers that end
+// under a request in generation_parts.cpp.
 
 namespace chestnut
 {
@@ -20,12 +19,10 @@
 {
 
 constexpr milliseconds CONNECT_TIMEOUT{150};   // a server in the same region answers in a few ms
-constexpr milliseconds MIN_ATTEMPT_TIME{200};  // no attempt is started with less time left
 constexpr milliseconds BUSY_RETRY{1200};       // Retry-After if servers refused: the mean answer time, after which a slot should be free
 constexpr milliseconds NO_PATH_RETRY{900};     // Retry-After without a path: by then a lost stage is replaced or has recovered
 constexpr milliseconds LIVENESS_INTERVAL{100}; // between two updates that the path's servers are alive
 constexpr milliseconds PATH_POLL_INTERVAL{60}; // between searches for a path for a stream that has begun
-constexpr int MAX_PATHS_TRIED = 6;             // paths tried per request
 constexpr int MAX_CLIENT_PAUSES = 8;           // a client is expected to disconnect after this many times the route's longest acceptable pause
 constexpr std::size_t MAX_ERROR_BODY_BYTES = std::size_t(1) << 20;
 constexpr std::size_t MAX_EVENT_BYTES = std::size_t(1) << 20; // of one event, which is kept until it is complete
@@ -122,7 +119,7 @@
         m_avoided.clear(); // servers that still fail are avoided for all requests by the health state
         timer.expires_after(PATH_POLL_INTERVAL);
         boost::system::error_code ignored; // the timer is never cancelled
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await timer.async_wait(into(ignored));
     }
 }
 
@@ -269,73 +266,6 @@
     attempt->exchange.reset(); // closes the connection, or returns it to the pool if the answer was read completely
 }
 
-//-----------------------------------------------------------------------------
-// Second attempt beside a silent one
-//-----------------------------------------------------------------------------
-
-bool generation_flow::startSecond(attempt_end cause, bool needsCapacity)
-{
-    const steady_time now = std::chrono::steady_clock::now();
-    if (!m_current || m_second || !mayResume() || m_pathsTried >= MAX_PATHS_TRIED || m_facts.deadline - now < MIN_ATTEMPT_TIME) {
-        return false;
-    }
-    if (!clientWaits()) {
-        return false;
-    }
-    if (!m_state.quarantine.mayRepeat(m_facts.parts)) {
-        return false;
-    }
-    // A server can't tell two attempts with the same request id apart.
-    std::vector<std::string> excluded = m_avoided;
-    excluded.push_back(m_current->first().address);
-    auto path = m_state.choosePath(demand(), excluded, false, now);
-    if (!path && !needsCapacity && m_streamBegan) {
-        path = m_state.choosePath(demand(), excluded, true, now);
-    }
-    if (!path || !m_state.budgetOf(m_facts.service).takeRepeat(now)) {
-        return false;
-    }
-    m_state.counters.count("second_attempts", {{"cause", toText(cause)}});
-    logLine(log_level::info, "second_attempt",
-            {{"request", m_facts.id},
-             {"cause", toText(cause)},
-             {"silent_ms", std::to_string(m_current->silence(now).count())},
-             {"first", m_current->first().server.text},
-             {"second", path->front().server.text}});
-    m_secondCause = cause;
-    m_second = startAttempt(*path);
-    return true;
-}
-
-void generation_flow::settleSecond()
-{
-    if (m_second->opening == opening_state::open) {
-        const milliseconds silence = m_current->silence(std::chrono::steady_clock::now());
-        logLine(log_level::info, "attempt_replaced",
-                {{"request", m_facts.id}, {"cause", toText(m_secondCause)}, {"silent_ms", std::to_string(silence.count())}});
-        m_current->replaced = true;
-        m_current->exchange->abort();
-        return;
-    }
-    const bool refused = m_second->opening == opening_state::not_run;
-    dropSecond();
-    if (refused) {
-        startSecond(m_secondCause, false);
-    }
-}
-
-void generation_flow::dropSecond()
-{
-    if (!m_second) {
-        return;
-    }
-    if (m_second->opening == opening_state::pending || m_second->opening == opening_state::open) {
-        m_second->exchange->abort();
-    }
-    endAttempt(m_second);
-    m_second.reset();
-}
-
 //-----------------------------------------------------------------------------
 // Forwarding
 //-----------------------------------------------------------------------------
@@ -497,6 +427,7 @@
                  {"obstacle", toText(gap.failureReason)},
                  {"layers", std::to_string(gap.layers.first) + "-" + std::to_string(gap.layers.last)},
                  {"tokens", std::to_string(static_cast<int>(m_facts.tokens))},
+                 {"domain_link_ms", std::to_string(static_cast<int>(m_state.domainLinkWaitMs(demand(), now)))},
                  {"fleet", std::to_string(m_state.fleet->version)},
                  {"peers", std::to_string(m_state.peers.livePeers(now))}});
     }
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -25,6 +25,9 @@
 private:
     using attempt_ptr = std::shared_ptr<stream_attempt>;
 
+    static constexpr milliseconds MIN_ATTEMPT_TIME{200}; // no attempt is started with less time left
+    static constexpr int MAX_PATHS_TRIED = 6;            // paths tried per request
+
     // How an attempt to run the generation on a path ended.
     enum class attempt_result
     {
--- a/src/gateway/generation_stalls.cpp
+++ b/src/gateway/generation_stalls.cpp
@@ -1,5 +1,6 @@
 // The part of generation_flow that handles attempts without data: inquiries, replaced stages, requests that wait in a queue.
 
+#include "gateway/completion.h"
 #include "gateway/generation_flow.h"
 
 #include <algorithm>
@@ -27,7 +28,7 @@
         if (now < until) {
             boost::system::error_code ignored; // cancelled at the end of the attempt
             attempt->stallTimer.expires_at(until);
-            co_await attempt->stallTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await attempt->stallTimer.async_wait(into(ignored));
             continue;
         }
         co_await handleStall(attempt);
--- a/src/gateway/one_shot.h
+++ b/src/gateway/one_shot.h
@@ -2,10 +2,10 @@
 
 // A value that is set once by a callback, and awaited with a timeout by a coroutine on the same thread.
 
+#include "gateway/completion.h"
+
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
 #include <memory>
@@ -34,7 +34,7 @@
     {
         boost::system::error_code ignored; // set() ends the wait by cancelling it
         if (!m_value) {
-            co_await m_timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            co_await m_timer.async_wait(into(ignored));
         }
         co_return m_value;
     }
--- a/src/gateway/pause_recovery.cpp
+++ b/src/gateway/pause_recovery.cpp
@@ -1,10 +1,9 @@
 #include "gateway/pause_recovery.h"
 
+#include "gateway/completion.h"
 #include "kernel/log.h"
 
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace chestnut
 {
@@ -57,7 +56,7 @@
     while (!m_guard.confirmed(now) && now < until) {
         timer.expires_after(CHECK_INTERVAL);
         boost::system::error_code ignored; // the timer is never cancelled
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await timer.async_wait(into(ignored));
         now = std::chrono::steady_clock::now();
     }
     co_return m_guard.confirmed(now);
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -1,11 +1,9 @@
 #include "gateway/plain_flow.h"
 
+#include "gateway/completion.h"
 #include "gateway/spawn.h"
 #include "kernel/scope.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 
 namespace chestnut
@@ -40,7 +38,7 @@
         }
         boost::system::error_code ignored; // cancelled when an attempt has ended
         m_changed.expires_at(nextCheck(now));
-        co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await m_changed.async_wait(into(ignored));
     }
     stopAttempts();
     if (m_abandoned) {
--- a/src/gateway/stream_attempt.cpp
+++ b/src/gateway/stream_attempt.cpp
@@ -1,7 +1,6 @@
 #include "gateway/stream_attempt.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "gateway/completion.h"
 
 #include <algorithm>
 
@@ -30,7 +29,7 @@
 {
     boost::system::error_code ignored; // setOpening() ends the wait by cancelling it
     while (opening == opening_state::pending) {
-        co_await opened.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await opened.async_wait(into(ignored));
     }
 }
 
--- /dev/null
+++ b/src/gateway/traffic_paths.cpp
@@ -0,0 +1,156 @@
+// The part of traffic_state that chooses the paths of generations and counts their load.
+
+#include "gateway/traffic_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnut
+{
+
+namespace
+{
+
+constexpr double PASS_WAIT_MS = 1.2;         // mean wait per stage until the server's current pass ends
+constexpr double ENTRY_HOP_PENALTY_MS = 5.0; // penalty per token for a first stage in another failure domain, which gets no activations from here
+constexpr int TRANSFER_SHARE = 2;            // of the objective for a first event, one in this many parts may be spent on transfers
+
+}
+
+std::vector<stage_candidate> traffic_state::candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now)
+{
+    const engine_profile &engine = *service.engine;
+    std::vector<stage_candidate> found;
+    for (const auto &[id, server] : fleet->servers) {
+        const auto kind = engine.kinds.find(server.accelerator);
+        const bool excluded = server.service != service.id || isLeaving(server) || kind == engine.kinds.end() || server.held.count() <= 0;
+        const bool avoided = health.avoided(server.address, now) || health.isQuiet(server.address, now);
+        if (excluded || avoided || containsAddress(avoid, server.address)) {
+            continue;
+        }
+        stage_candidate candidate;
+        candidate.server = &server;
+        candidate.msPerLayer = engine.stepMs * kind->second.stepFactor / engine.layers;
+        candidate.kvCapacity = engine.kvCapacityTokens(kind->second, server.held.count());
+        candidate.usedTokens = health.of(server.address).tokens + peers.tokens(server.address, now);
+        candidate.running = health.of(server.address).running + peers.running(server.address, now);
+        candidate.slots = server.slots > 0 ? server.slots : candidate.slots;
+        found.push_back(candidate);
+    }
+    return found;
+}
+
+double traffic_state::domainLinkWaitMs(const path_demand &demand, steady_time now)
+{
+    return domainTransferMs(*demand.service.engine, linkTokens + peers.tokens(DOMAIN_LINK_NAME, now));
+}
+
+path_query traffic_state::pathQuery(const path_demand &demand, bool ignoreCapacity, steady_time now)
+{
+    const engine_profile &engine = *demand.service.engine;
+    const milliseconds patience = ignoreCapacity ? demand.clientPatience : demand.objective / TRANSFER_SHARE;
+    path_query query;
+    query.from = domain_id{settings.failureDomain};
+    query.layers = engine.layers;
+    query.tokens = demand.tokens;
+    query.stageOverheadMs = PASS_WAIT_MS;
+    query.domainHopMs = domainHopCostMs(engine, {linkTokens + peers.tokens(DOMAIN_LINK_NAME, now), patience}, demand.tokens);
+    query.entryHopMs = ENTRY_HOP_PENALTY_MS;
+    query.ignoreCapacity = ignoreCapacity;
+    return query;
+}
+
+std::optional<std::vector<path_stage>> traffic_state::choosePath(const path_demand &demand, const std::vector<std::string> &avoid, bool ignoreCapacity,
+                                                                 steady_time now)
+{
+    return findPath(candidates(demand.service, avoid, now), pathQuery(demand, ignoreCapacity, now));
+}
+
+path_gap traffic_state::explainNoPath(const path_demand &demand, const std::vector<std::string> &avoid, steady_time now)
+{
+    std::vector<layer_range> holders;
+    for (const auto &[id, server] : fleet->servers) {
+        if (server.service == demand.service.id && !isLeaving(server) && server.held.count() > 0) {
+            holders.push_back(server.held);
+        }
+    }
+    return chestnut::explainNoPath(holders, candidates(demand.service, avoid, now), pathQuery(demand, false, now));
+}
+
+std::optional<std::vector<path_stage>> traffic_state::chooseReplacement(const path_demand &demand, layer_range range, const stage_neighbours &neighbours,
+                                                                        const std::vector<path_stage> &path, const std::vector<std::string> &avoid,
+                                                                        bool ignoreCapacity, steady_time now)
+{
+    std::vector<std::string> excluded = avoid;
+    for (const path_stage &stage : path) {
+        excluded.push_back(stage.address);
+    }
+    // Layer numbers are shifted to start at 0, as findPath() expects.
+    std::vector<stage_candidate> all = candidates(demand.service, excluded, now);
+    std::vector<listed_server> shifted;
+    shifted.reserve(all.size());
+    for (stage_candidate &candidate : all) {
+        listed_server server = *candidate.server;
+        server.held = {std::max(0, server.held.first - range.first), std::min(server.held.last, range.last) - range.first};
+        shifted.push_back(server);
+        candidate.server = &shifted.back();
+    }
+    path_query query = pathQuery(demand, ignoreCapacity, now);
+    query.layers = range.count();
+    query.from = neighbours.before;
+    query.entryHopMs = query.domainHopMs;
+    query.to = neighbours.behind;
+    std::optional<std::vector<path_stage>> found = findPath(all, query);
+    if (found) {
+        for (path_stage &stage : *found) {
+            stage.range = {stage.range.first + range.first, stage.range.last + range.first};
+        }
+    }
+    return found;
+}
+
+path_load::path_load(traffic_state &state, const std::vector<path_stage> &path, double tokens)
+    : m_state(state)
+    , m_path(path)
+    , m_tokens(tokens)
+{
+    add(1);
+    addTransfer(countDomainHops(path));
+}
+
+path_load::~path_load()
+{
+    noteTransferred();
+    add(-1);
+}
+
+void path_load::move(const std::vector<path_stage> &path)
+{
+    noteTransferred();
+    addTransfer(countNewDomainHops(m_path, path));
+    add(-1);
+    m_path = path;
+    add(1);
+}
+
+void path_load::noteTransferred()
+{
+    m_state.linkTokens -= std::exchange(m_inTransfer, 0);
+}
+
+void path_load::addTransfer(int hops)
+{
+    m_inTransfer = m_tokens * hops;
+    m_state.linkTokens += m_inTransfer;
+}
+
+void path_load::add(double sign)
+{
+    for (const path_stage &stage : m_path) {
+        server_state &state = m_state.health.of(stage.address);
+        state.tokens += sign * m_tokens;
+        state.running += &stage == &m_path.front() ? static_cast<int>(sign) : 0;
+    }
+}
+
+}
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -72,6 +72,8 @@
     std::optional<domain_id> behind; // nothing if the last stage is to be replaced
 };
 
+bool containsAddress(const std::vector<std::string> &addresses, const std::string &address);
+
 class traffic_state
 {
 public:
@@ -140,6 +142,8 @@
     // quiet period. Contains avoided servers only if there are no others.
     std::vector<const listed_server *> serversByLoad(const service_id &service, const std::vector<std::string> &tried, steady_time now);
 
+    // Time that a prompt sent between failure domains now would wait for the network, in ms.
+    double domainLinkWaitMs(const path_demand &demand, steady_time now);
     // Returns the cheapest complete path that uses no address in `avoid`, or nothing if there is none. `ignoreCapacity` accepts servers
     // without enough free KV capacity or slots, and a network between failure domains that is backed up.
     std::optional<std::vector<path_stage>> choosePath(const path_demand &demand, const std::vector<std::string> &avoid, bool ignoreCapacity, steady_time now);
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -1,10 +1,9 @@
 #include "gateway/upstream.h"
 
+#include "gateway/completion.h"
 #include "gateway/headers.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -36,12 +35,6 @@
 constexpr int MAX_SKIPPED_ANSWERS = 4;        // interim (1xx) answers and late answers to other requests
 constexpr std::size_t MAX_REFUSED_IDS = 16;   // kept for each connection
 
-// Completion token that stores the error code instead of throwing.
-auto into(error_code &error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
-
 std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
