Entry: each call to a plain service uses a connection of its own

Cause: repeatable calls used libcurl's kept connections. Answers of services bear no id, so a late second copy of an earlier answer or refusal was taken for the next one. Why this works: nothing of an earlier call can arrive on a new connection. Calls that must not be repeated had one already. It costs a connection for each repeatable call.

--- a/src/entry/service_driver.cpp
+++ b/src/entry/service_driver.cpp
@@ -188,7 +188,7 @@
     request.body = state->call->body();
     request.connectTimeout = CONNECT_TIMEOUT;
     request.totalTimeout = std::chrono::ceil<milliseconds>(state->deadline - now);
-    request.singleUse = !state->mayRepeat;
+    request.singleUse = true; // answers bear no id: on a used connection a late copy of an earlier one could be taken for this one
     if (!state->key.empty()) {
         request.headers.push_back("Idempotency-Key: " + state->key);
     }
--- a/tests/entry_silence_test.cpp
+++ b/tests/entry_silence_test.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <map>
+#include <mutex>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -356,9 +358,9 @@
         }
     }
 
-    http_result call() const
+    http_result call(const std::string &body = "body") const
     {
-        return request("POST", m_cluster.url(0) + "/services/lookup/x", "body", {std::string("Authorization: Bearer ") + TEST_KEY});
+        return request("POST", m_cluster.url(0) + "/services/lookup/x", body, {std::string("Authorization: Bearer ") + TEST_KEY});
     }
 
 private:
@@ -432,6 +434,32 @@
     CHECK(site.call().verdictHeader == "not_run");
 }
 
+TEST_CASE("a late second copy of a service's answer is not taken for the answer to the next call", "[failure]")
+{
+    const bool refuses = GENERATE(false, true);
+    std::mutex mutex;
+    std::map<int, std::string> copies; // of the last answer on each connection
+    const scripted_server replica([&](raw_connection &out, const raw_request &in) {
+        const std::lock_guard lock(mutex);
+        const bool refused = refuses && in.index == 0;
+        const std::string own = refused ? plainAnswer("503 Service Unavailable", "{}", "Chestnutgw-Verdict: not_run\r\n") : plainAnswer("200 OK", in.body);
+        out.write(copies[in.connection] + own);
+        copies[in.connection] = own;
+        return true;
+    });
+    const service_site site({&replica}, 2000);
+    for (int number = 0; number < 6; ++number) {
+        const std::string body = "call" + std::to_string(number);
+        const http_result result = site.call(body);
+        const bool executed = result.status == 200;
+        CHECK((!executed || result.body == body));
+        CHECK((executed || refuses));
+    }
+    for (const raw_request &seen : replica.requests()) {
+        CHECK(seen.index == 0); // no other rule tells whose answer an answer is
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Operators
 //-----------------------------------------------------------------------------
