Tests: a child process inherits none of the sockets of the process that starts it

Cause: Boost.Asio opens the sockets of the soak's proxies without close-on-exec. The new gateway inherited them, so that a close or a reset of the proxy did not reach the peer. A fault of the rig, not of the gateway. Why this works: posix_spawn closes all further descriptors of the child.

--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -17,7 +17,8 @@
 namespace
 {
 
-constexpr seconds HANG_LIMIT{30}; // longer than any wait that does not hang
+constexpr seconds HANG_LIMIT{30};         // longer than any wait that does not hang
+constexpr int FIRST_OTHER_DESCRIPTOR = 3; // after standard input, output and error
 
 pid_t spawn(const std::string &program, const std::vector<std::string> &arguments, int output, bool withErrors = false)
 {
@@ -35,6 +36,9 @@
         posix_spawn_file_actions_adddup2(&actions, output, 2);
     }
     pid_t pid = -1;
+    // A socket that a child also holds is not closed for its peer when this process closes it. Boost.Asio opens sockets without the flag
+    // that would prevent that.
+    posix_spawn_file_actions_addclosefrom_np(&actions, FIRST_OTHER_DESCRIPTOR);
     if (posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ) != 0) {
         throw std::runtime_error("cannot start " + path);
     }
