A route without objectives sets no limit on the wait for the network between failure domains

Callers would see: on a route that declares no objective, streams that must cross the network were rejected as soon as one other prompt was on its way. Cause: a missing objective (0 ms) was taken for a patience of nothing. Why this works: without an objective, or without a known pause of the client, there is no limit; the wait still adds to the cost of a path.

--- a/src/gateway/traffic_paths.cpp
+++ b/src/gateway/traffic_paths.cpp
@@ -15,6 +15,13 @@
 constexpr double ENTRY_HOP_PENALTY_MS = 5.0; // penalty per token for a first stage in another failure domain, which gets no activations from here
 constexpr int TRANSFER_SHARE = 2;            // of the objective for a first event, one in this many parts may be spent on transfers
 
+// How long a prompt may wait for the network between failure domains. A route without objectives sets no limit.
+milliseconds transferPatience(const path_demand &demand, bool streamBegan)
+{
+    const milliseconds limit = streamBegan ? demand.clientPatience : demand.objective / TRANSFER_SHARE;
+    return limit.count() > 0 ? limit : milliseconds::max();
+}
+
 }
 
 std::vector<stage_candidate> traffic_state::candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now)
@@ -42,19 +49,23 @@
 
 double traffic_state::domainLinkWaitMs(const path_demand &demand, steady_time now)
 {
-    return domainTransferMs(*demand.service.engine, linkTokens + peers.tokens(DOMAIN_LINK_NAME, now));
+    return domainTransferMs(*demand.service.engine, waitingLinkTokens(now));
+}
+
+double traffic_state::waitingLinkTokens(steady_time now)
+{
+    return linkTokens + peers.tokens(DOMAIN_LINK_NAME, now);
 }
 
 path_query traffic_state::pathQuery(const path_demand &demand, bool ignoreCapacity, steady_time now)
 {
     const engine_profile &engine = *demand.service.engine;
-    const milliseconds patience = ignoreCapacity ? demand.clientPatience : demand.objective / TRANSFER_SHARE;
     path_query query;
     query.from = domain_id{settings.failureDomain};
     query.layers = engine.layers;
     query.tokens = demand.tokens;
     query.stageOverheadMs = PASS_WAIT_MS;
-    query.domainHopMs = domainHopCostMs(engine, {linkTokens + peers.tokens(DOMAIN_LINK_NAME, now), patience}, demand.tokens);
+    query.domainHopMs = domainHopCostMs(engine, {waitingLinkTokens(now), transferPatience(demand, ignoreCapacity)}, demand.tokens);
     query.entryHopMs = ENTRY_HOP_PENALTY_MS;
     query.ignoreCapacity = ignoreCapacity;
     return query;
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -61,8 +61,8 @@
 {
     const service_profile &service;
     double tokens = 0;              // of prompt and expected answer
-    milliseconds objective{0};      // for its first event
-    milliseconds clientPatience{0}; // a client whose stream has begun stays connected for so long without an event
+    milliseconds objective{0};      // for its first event, 0 = none
+    milliseconds clientPatience{0}; // a client whose stream has begun stays connected for so long without an event, 0 = not known
 };
 
 // Failure domains of the stages between which others are to be put.
@@ -156,6 +156,8 @@
                                                              steady_time now);
 
 private:
+    // Tokens of the prompts of all instances that are on their way between failure domains, as far as known.
+    double waitingLinkTokens(steady_time now);
     path_query pathQuery(const path_demand &demand, bool ignoreCapacity, steady_time now);
     std::vector<stage_candidate> candidates(const service_profile &service, const std::vector<std::string> &avoid, steady_time now);
 
--- a/tests/gateway_domain_link_test.cpp
+++ b/tests/gateway_domain_link_test.cpp
@@ -82,6 +82,45 @@
     CHECK(isWholeStream(exchange(site.front(), makeRequest("/stream/", "after")), LAST_EVENT)); // there is room again
 }
 
+TEST_CASE("a route without objectives sets no limit on the wait for the network", "[failure]")
+{
+    constexpr int STREAMS = 6;
+    std::atomic<int> arrived = 0;
+    scripted_server first([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.write(report(in));
+            return true;
+        }
+        ++arrived;
+        eventually([&] { return arrived >= STREAMS; }, milliseconds(5000));
+        out.write(streamHead(in) + events(firstEventOf(in), LAST_EVENT) + "0\r\n\r\n");
+        return true;
+    });
+    scripted_server second(answering("unused"));
+    deployment site;
+    addStage(site, "i-1", "a", first.address(), 0, 2);
+    addStage(site, "i-2", "b", second.address(), 2, 4);
+    json config = SLOW_NETWORK;
+    config["Routes"] = {{{"Name", "free"},
+                         {"Hostname", "h.example"},
+                         {"PathPrefix", "/free/"},
+                         {"RouteType", "streaming"},
+                         {"TimeoutMs", 8000},
+                         {"Service", "lm"},
+                         {"MaxAttempts", 1}}};
+    site.publish(1, config);
+    site.startGateway();
+    REQUIRE(eventually([&] { return site.readyStatus() == 200; }));
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (int number = 0; number < STREAMS; ++number) {
+        clients.push_back(std::make_unique<raw_client>(site.front()));
+        clients.back()->write(makeRequest("/free/", "id" + std::to_string(number)));
+    }
+    for (const auto &client : clients) {
+        CHECK(isWholeStream(client->readUntil("0\r\n\r\n"), LAST_EVENT));
+    }
+}
+
 TEST_CASE("a failure domain that lacks layers sends its streams to another one from the first layer on", "[failure]")
 {
     scripted_server home(streaming(LAST_EVENT));
