--- a/tests/gateway_client_gone_test.cpp
+++ b/tests/gateway_client_gone_test.cpp
@@ -7,7 +7,6 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -19,9 +18,10 @@
 constexpr milliseconds PAUSE{700};        // of the gateway; shorter than a pause after which it reads its state anew
 constexpr milliseconds RELEASE_TIME{500}; // from a client's close until its server is released
 
-void sleepFor(milliseconds time)
+void waitFor(milliseconds time)
 {
-    std::this_thread::sleep_for(time);
+    const steady_time end = std::chrono::steady_clock::now() + time;
+    REQUIRE(eventually([&] { return std::chrono::steady_clock::now() >= end; }));
 }
 
 // Server of both kinds of route that answers the first requests only when `connections` of them have arrived, so that as many
@@ -82,10 +82,10 @@
         client.write(makeRequest(path, "left" + std::to_string(number)));
         client.close();
     }
-    sleepFor(PAUSE);
+    waitFor(PAUSE);
     site.gateways[0]->signal(SIGCONT);
     CHECK(statusOf(exchange(site.front(), makeRequest(path, "after"))) == 200);
-    sleepFor(milliseconds(200));
+    waitFor(milliseconds(200));
 }
 
 }
@@ -136,14 +136,14 @@
         clients.back()->write(makeRequest("/safe/", "first" + std::to_string(number)) + makeRequest("/safe/", "second" + std::to_string(number)));
     }
     REQUIRE(eventually([&] { return server.count() == 4; }));
-    sleepFor(milliseconds(50));
+    waitFor(milliseconds(50));
     site.gateways[0]->signal(SIGSTOP);
     go = true;
     REQUIRE(eventually([&] { return answered == 4; }));
     clients.clear();
-    sleepFor(PAUSE);
+    waitFor(PAUSE);
     site.gateways[0]->signal(SIGCONT);
-    sleepFor(milliseconds(400));
+    waitFor(milliseconds(400));
     CHECK(server.count() == 4);
 }
 
@@ -165,7 +165,7 @@
     for (int number = 0; number < 20; ++number) {
         client.write(makeRequest("/safe/", "more" + std::to_string(number), "", std::string(4900, 'x')));
     }
-    sleepFor(milliseconds(50));
+    waitFor(milliseconds(50));
     client.close();
     left = true;
     CHECK(eventually([&] { return released.load(); }, milliseconds(2000)));
@@ -183,9 +183,9 @@
     REQUIRE(eventually([&] { return site.readyStatus() == 200; }));
     raw_client client(site.front());
     client.write(makeRequest("/safe/", "id1", "", std::string(BODY_BYTES, 'x')));
-    sleepFor(milliseconds(400));
+    waitFor(milliseconds(400));
     client.close();
-    sleepFor(milliseconds(2500));
+    waitFor(milliseconds(2500));
     CHECK(server.received() < BODY_BYTES);
 }
 
