--- a/tests/pipeline_failure_test.cpp
+++ b/tests/pipeline_failure_test.cpp
@@ -42,6 +42,14 @@
     return sum;
 }
 
+// Makes the layers of all engines take `factor` times as long.
+void setSlowness(const cluster &all, int factor)
+{
+    for (const auto &engine : all.engines) {
+        engine->setFaults({{"slow", factor}});
+    }
+}
+
 // Index of the engine of a stage with the most open streams.
 int busiestEngine(cluster &all, int stage)
 {
@@ -166,9 +174,11 @@
     for (int i = 0; i < STREAMS; ++i) {
         requests.push_back(all.chatRequest(1, promptOf(i), TOKENS, i % 2 == 0));
     }
+    setSlowness(all, 10); // else the first stream may end before the last one begins
     auto answers = sendInBackground(std::move(requests));
     REQUIRE(eventually([&] { return all.status(1)["in_flight"].get<int>() == STREAMS; }));
     all.entries[1]->signal(SIGTERM);
+    setSlowness(all, 1);
     const std::vector<http_result> got = answers.get();
     checkAnswers(all, got);
     CHECK(all.entries[1]->wait() == 0);
