--- /dev/null
+++ b/review/standin/plain_server.h
@@ -0,0 +1,140 @@
+#pragma once
+
+// A server of a plain service: registers itself in the store, answers each request after its work time and records what it ran.
+
+#include "standin.h"
+
+namespace review
+{
+
+struct arrival
+{
+    long at = 0; // ms since the start
+    std::string id;
+    std::string target;
+    std::string body;
+    bool finished = false; // its answer was sent
+};
+
+class plain_server
+{
+public:
+    plain_server(store &platform, std::string id, std::string service, std::string zone, long workMs)
+        : m_store(platform)
+        , m_id(std::move(id))
+        , m_service(std::move(service))
+        , m_zone(std::move(zone))
+        , m_workMs(workMs)
+        , m_listener([this](connection &peer) { serve(peer); })
+        , m_beats([this] { beat(); })
+    {
+        RECORD.line("server %s of %s at 127.0.0.1:%d", m_id.c_str(), m_service.c_str(), m_listener.port());
+    }
+    ~plain_server()
+    {
+        stopBeats();
+    }
+    // Leaves without having reported `draining`: its entry is removed. Returns when the store accepted that. It goes on serving.
+    long removeEntry()
+    {
+        stopBeats();
+        const long at = m_store.put("keyed.servers", m_id, "");
+        RECORD.line("server %s: its entry is removed, acknowledged by the store", m_id.c_str());
+        return at;
+    }
+    // The process ends.
+    void exit()
+    {
+        m_listener.stop();
+        RECORD.line("server %s has ended", m_id.c_str());
+    }
+    std::vector<arrival> arrivals() const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<arrival> all;
+        for (const auto &one : m_arrivals) {
+            all.push_back(*one);
+        }
+        return all;
+    }
+    const std::string &id() const
+    {
+        return m_id;
+    }
+
+private:
+    void beat()
+    {
+        for (int sequence = 1; !m_beatsStopped; ++sequence) {
+            m_store.put("keyed.servers", m_id,
+                        json{{"Service", m_service},
+                             {"Address", "127.0.0.1:" + std::to_string(m_listener.port())},
+                             {"Zone", m_zone},
+                             {"Version", 1},
+                             {"BatchSlots", 16},
+                             {"State", "ready"},
+                             {"ColdLeftMs", 0},
+                             {"born", m_born},
+                             {"Sequence", sequence}}
+                            .dump());
+            for (int i = 0; i < 60 && !m_beatsStopped; ++i) { // HeartbeatMs 1200
+                sleepMs(20);
+            }
+        }
+    }
+    void stopBeats()
+    {
+        m_beatsStopped = true;
+        if (m_beats.joinable()) {
+            m_beats.join();
+        }
+    }
+    void serve(connection &peer)
+    {
+        message in;
+        while (peer.read(in, 30'000)) {
+            if (!answerOne(peer, in)) {
+                return;
+            }
+        }
+    }
+    bool answerOne(connection &peer, const message &in)
+    {
+        if (in.path() == "/health") {
+            return peer.send(answer("200 OK", "", "X-Chestnutgw-Instance-Id: " + m_id + "\r\n"));
+        }
+        const std::string id = in.header("X-Chestnutgw-Request-Id");
+        const std::string echo = "X-Chestnutgw-Request-Id: " + id + "\r\nX-Chestnutgw-Response-Signature: " + m_id + "." + id + "\r\n";
+        if (in.header("X-Chestnutgw-Target-Instance") != m_id) {
+            return peer.send(answer("421 Misdirected Request", "", echo + "X-Chestnutgw-Not-Executed: 1\r\n"));
+        }
+        const auto one = std::make_shared<arrival>(arrival{nowMs(), id, in.target(), in.body, false});
+        {
+            const std::lock_guard lock(m_mutex);
+            m_arrivals.push_back(one);
+        }
+        RECORD.line("server %s runs %s", m_id.c_str(), id.c_str());
+        sleepMs(m_workMs);
+        if (m_listener.stopping()) {
+            return false;
+        }
+        const bool sent = peer.send(answer("200 OK", "done " + id, echo));
+        const std::lock_guard lock(m_mutex);
+        one->finished = sent;
+        return sent;
+    }
+
+    store &m_store;
+    std::string m_id;
+    std::string m_service;
+    std::string m_zone;
+    long m_workMs;
+    long m_born = wallMs();
+    mutable std::mutex m_mutex; // guards m_arrivals
+    std::vector<std::shared_ptr<arrival>> m_arrivals;
+    std::atomic<bool> m_beatsStopped = false;
+    listener m_listener;
+    std::thread m_beats;
+};
+
+}
