--- a/review/standin/plain_server.h
+++ b/review/standin/plain_server.h
@@ -19,12 +19,14 @@
 class plain_server
 {
 public:
-    plain_server(store &platform, std::string id, std::string service, std::string zone, long workMs)
+    plain_server(store &platform, std::string id, std::string service, std::string zone, long workMs, int slots = 16, bool recordsRuns = true)
         : m_store(platform)
         , m_id(std::move(id))
         , m_service(std::move(service))
         , m_zone(std::move(zone))
         , m_workMs(workMs)
+        , m_slots(slots)
+        , m_recordsRuns(recordsRuns)
         , m_listener([this](connection &peer) { serve(peer); })
         , m_beats([this] { beat(); })
     {
@@ -34,6 +36,13 @@
     {
         stopBeats();
     }
+    // Reports that it is about to leave. It goes on serving.
+    void beginDrain()
+    {
+        stopBeats();
+        report("draining");
+        RECORD.line("server %s is draining", m_id.c_str());
+    }
     // Leaves without having reported `draining`: its entry is removed. Returns when the store accepted that. It goes on serving.
     long removeEntry()
     {
@@ -46,6 +55,7 @@
     void exit()
     {
         m_listener.stop();
+        m_store.put("keyed.servers", m_id, "");
         RECORD.line("server %s has ended", m_id.c_str());
     }
     std::vector<arrival> arrivals() const
@@ -63,20 +73,24 @@
     }
 
 private:
+    void report(const std::string &state)
+    {
+        m_store.put("keyed.servers", m_id,
+                    json{{"Service", m_service},
+                         {"Address", "127.0.0.1:" + std::to_string(m_listener.port())},
+                         {"Zone", m_zone},
+                         {"Version", 1},
+                         {"BatchSlots", m_slots},
+                         {"State", state},
+                         {"ColdLeftMs", 0},
+                         {"born", m_born},
+                         {"Sequence", ++m_sequence}}
+                        .dump());
+    }
     void beat()
     {
-        for (int sequence = 1; !m_beatsStopped; ++sequence) {
-            m_store.put("keyed.servers", m_id,
-                        json{{"Service", m_service},
-                             {"Address", "127.0.0.1:" + std::to_string(m_listener.port())},
-                             {"Zone", m_zone},
-                             {"Version", 1},
-                             {"BatchSlots", 16},
-                             {"State", "ready"},
-                             {"ColdLeftMs", 0},
-                             {"born", m_born},
-                             {"Sequence", sequence}}
-                            .dump());
+        while (!m_beatsStopped) {
+            report("ready");
             for (int i = 0; i < 60 && !m_beatsStopped; ++i) { // HeartbeatMs 1200
                 sleepMs(20);
             }
@@ -113,7 +127,9 @@
             const std::lock_guard lock(m_mutex);
             m_arrivals.push_back(one);
         }
-        RECORD.line("server %s runs %s", m_id.c_str(), id.c_str());
+        if (m_recordsRuns) {
+            RECORD.line("server %s runs %s", m_id.c_str(), id.c_str());
+        }
         sleepMs(m_workMs);
         if (m_listener.stopping()) {
             return false;
@@ -129,6 +145,9 @@
     std::string m_service;
     std::string m_zone;
     long m_workMs;
+    int m_slots;
+    bool m_recordsRuns;
+    int m_sequence = 0;
     long m_born = wallMs();
     mutable std::mutex m_mutex; // guards m_arrivals
     std::vector<std::shared_ptr<arrival>> m_arrivals;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -15,6 +15,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <dirent.h>
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
@@ -31,6 +32,7 @@
 #include <sstream>
 #include <string>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -622,6 +624,7 @@
     int graceSeconds = 8;
     int drainMs = 2000;
     double retryExtra = 198;
+    int maxFds = 4200; // Limits.MaxFds of the deployment's machines
 };
 
 // A gateway, started as deploy/system.toml says, with the settings of deploy/gateway.ini.
@@ -656,9 +659,12 @@
         m_pid = ::fork();
         if (m_pid == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the script, however that ends
+            const rlimit limit{static_cast<rlim_t>(m_options.maxFds), static_cast<rlim_t>(m_options.maxFds)};
+            ::setrlimit(RLIMIT_NOFILE, &limit);
             const int out = ::open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
+            ::close_range(3, ~0U, 0); // the gateway inherits no sockets
             ::execl(m_program.c_str(), m_program.c_str(), "--config", m_config.c_str(), nullptr);
             ::_exit(127);
         }
@@ -705,6 +711,22 @@
     {
         return m_status;
     }
+    pid_t process() const
+    {
+        return m_pid;
+    }
+    // Number of its open descriptors.
+    int openFds() const
+    {
+        int count = 0;
+        if (DIR *folder = ::opendir(("/proc/" + std::to_string(m_pid) + "/fd").c_str())) {
+            while (::readdir(folder) != nullptr) {
+                ++count;
+            }
+            ::closedir(folder);
+        }
+        return std::max(0, count - 2); // "." and ".."
+    }
     // Lines of the gateway's log that contain a text.
     std::vector<std::string> logLines(const std::string &text) const
     {
