Review: a stream resumed twice begins anew after a comment line

Cause: generation_flow::forwardEvents() takes the newest event id from the present attempt alone; a block without an id in a resumed attempt erases the id that an earlier attempt had set, and the next attempt asks for the whole stream. Evidence: review/5, a script with six model servers of which two crash 0.5 s apart.

--- a/review/standin/model_server.h
+++ b/review/standin/model_server.h
@@ -15,6 +15,7 @@
     int events = 0;
     bool complete = false;
     bool callerLeft = false; // the gateway closed the connection
+    std::string resumedAt;   // Last-Event-Id of the request, empty if it has none
 };
 
 constexpr int LAYERS = 8;
@@ -47,12 +48,14 @@
 class model_server
 {
 public:
-    model_server(store &platform, std::string id, std::string service, std::string zone, long eventMs)
+    // While it reads a prompt, for `readMs`, it sends comment lines, which are no events, so that the stream is not silent.
+    model_server(store &platform, std::string id, std::string service, std::string zone, long eventMs, long readMs = 0)
         : m_store(platform)
         , m_id(std::move(id))
         , m_service(std::move(service))
         , m_zone(std::move(zone))
         , m_eventMs(eventMs)
+        , m_readMs(readMs)
         , m_listener([this](connection &peer) { serve(peer); })
         , m_beats([this] { beat(); })
     {
@@ -63,6 +66,26 @@
         m_beatsStopped = true;
         m_beats.join();
     }
+    // The process ends at once; its entry stays until it has been silent for three check-in intervals.
+    void crash()
+    {
+        m_beatsStopped = true;
+        RECORD.line("model server %s crashes", m_id.c_str());
+        m_listener.stop();
+    }
+    // Number of resumed streams whose prompts it is reading.
+    int readingResumed() const
+    {
+        return m_readingResumed;
+    }
+    int running() const
+    {
+        return m_running;
+    }
+    const std::string &id() const
+    {
+        return m_id;
+    }
     std::vector<stream_run> runs() const
     {
         const std::lock_guard lock(m_mutex);
@@ -135,6 +158,19 @@
         }
         return stream(peer, in, id, echo);
     }
+    bool read(connection &peer, bool resumed)
+    {
+        constexpr long COMMENT_MS = 200;
+        static const std::string COMMENT = "b\r\n: reading\n\n\r\n";
+        m_readingResumed += resumed ? 1 : 0;
+        bool open = true;
+        for (const long until = nowMs() + m_readMs; nowMs() < until && open;) {
+            open = !peer.peerGone() && peer.send(COMMENT);
+            sleepMs(std::min(COMMENT_MS, until - nowMs()));
+        }
+        m_readingResumed -= resumed ? 1 : 0;
+        return open;
+    }
     // The number of events is the client's limit of output tokens, or what is left of them behind Last-Event-Id.
     bool stream(connection &peer, const message &in, const std::string &id, const std::string &echo)
     {
@@ -144,12 +180,14 @@
         const auto run = std::make_shared<stream_run>();
         run->began = nowMs();
         run->id = id;
+        run->resumedAt = in.header("Last-Event-Id");
         {
             const std::lock_guard lock(m_mutex);
             m_runs.push_back(run);
         }
         ++m_running;
         bool open = peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + echo + "\r\n");
+        open = open && read(peer, !run->resumedAt.empty());
         for (int event = first; event <= events && open; ++event) {
             const long until = nowMs() + m_eventMs;
             while (nowMs() < until && !peer.peerGone()) {
@@ -176,6 +214,8 @@
     std::string m_service;
     std::string m_zone;
     std::atomic<long> m_eventMs;
+    long m_readMs;
+    std::atomic<int> m_readingResumed = 0;
     long m_born = wallMs();
     std::atomic<int> m_running = 0;
     mutable std::mutex m_mutex; // guards m_runs
