--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -235,30 +235,31 @@
             client.join();
         }
     }
-    std::map<std::string, long> runs;
+    std::map<std::string, std::string> runs; // by request: server and time
     for (const auto &server : servers) {
         for (const arrival &run : server->arrivals()) {
-            runs[run.id] = run.at;
+            runs[run.id] += " run by " + server->id() + " at " + std::to_string(run.at) + " ms" + (run.finished ? "" : ", answer not taken");
         }
     }
     const long judgedFrom = env.trouble ? thawedAt + CONTACT_MS : termAt;
     int lost = 0;
     std::map<std::pair<int, int>, int> statuses;
+    std::sort(book.requests.begin(), book.requests.end(), [](const sent_request &left, const sent_request &right) { return left.sent < right.sent; });
     for (const sent_request &one : book.requests) {
         ++statuses[{one.node, one.status}];
         const bool passedOn = runs.count(one.id) > 0;
-        if (one.status != 0) {
-            continue;
-        }
         // What was sent while the machine stood still, or soon after it, is excused.
-        const bool judged = one.node == 0 && one.sent > judgedFrom && !one.clientTimedOut && passedOn;
+        const bool judged = one.node == 0 && one.status == 0 && one.sent > judgedFrom && !one.clientTimedOut && passedOn;
         lost += judged ? 1 : 0;
-        if (!judged && one.ended < endedAt) {
-            continue;
+        if (judged) {
+            RECORD.line("LOST: %s sent to %s %ld ms after its SIGTERM and %ld ms after the freeze, passed on to a sound server, no answer, the connection ended "
+                        "%ld ms after it was sent",
+                        one.id.c_str(), nodes[0]->name().c_str(), one.sent - termAt, one.sent - thawedAt, one.ended - one.sent);
+        }
+        if (one.node == 0 && one.ended > termAt) {
+            RECORD.line("%s sent to %s at %ld ms, %s at %ld ms,%s", one.id.c_str(), nodes[0]->name().c_str(), one.sent,
+                        one.status == 0 ? "no answer" : ("status " + std::to_string(one.status)).c_str(), one.ended, passedOn ? runs[one.id].c_str() : " not run");
         }
-        RECORD.line("%s%s to %s sent %ld ms after the first SIGTERM and %ld ms after the freeze, %s, no answer, the connection ended %ld ms after it was sent",
-                    judged ? "LOST: " : "", one.id.c_str(), nodes[static_cast<std::size_t>(one.node)]->name().c_str(), one.sent - termAt, one.sent - thawedAt,
-                    passedOn ? "passed on to a sound server" : "not passed on", one.ended - one.sent);
     }
     for (const auto &[key, count] : statuses) {
         RECORD.line("%s: status %d: %d", nodes[static_cast<std::size_t>(key.first)]->name().c_str(), key.second, count);
