--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -14,7 +14,8 @@
 constexpr long TERM_AFTER_MS = 500; // from the beginning of the freeze to the SIGTERM
 constexpr long GAP_MS = 1300;       // between the SIGTERMs of two machines
 constexpr long RESTART_MS = 500;    // from the end of a process to its next start
-constexpr int GATEWAYS = 3;
+constexpr int GATEWAYS = 3;         // in the clients' zone
+constexpr int OTHER_GATEWAYS = 4;   // in two other zones, without clients, so that two are 0.29 of all
 constexpr int CLIENTS = 36;
 constexpr long WORK_MS[] = {200, 350, 500}; // of the servers
 constexpr unsigned PAUSE_MS = 100;          // longest pause of a client between two requests
@@ -121,7 +122,7 @@
         message in;
         const bool answered = kept->send("POST /submit/ HTTP/1.1\r\nHost: shop.example\r\nX-Chestnutgw-Request-Id: " + one.id + "\r\nX-Chestnutgw-Deadline-Ms: "
                                          + std::to_string(TIMEOUT_MS) + "\r\nAuthorization: Bearer k1\r\nContent-Length: 5\r\n\r\nhello")
-            && kept->read(in, TIMEOUT_MS + 500);
+            && kept->read(in, TIMEOUT_MS);
         one.status = answered ? in.status() : 0;
         one.clientTimedOut = !answered && kept->timedOut();
         one.ended = nowMs();
@@ -197,6 +198,19 @@
             return 2;
         }
     }
+    std::vector<std::unique_ptr<gateway>> others;
+    for (int i = 0; i < OTHER_GATEWAYS; ++i) {
+        const std::string zone = i % 2 == 0 ? "zone-b" : "zone-c";
+        others.push_back(std::make_unique<gateway>(env.root, env.temporary,
+                                                   gateway_options{"edge-" + zone + "-" + std::to_string(i / 2 + 1), zone, platform.endpoint().port(), GRACE_S}));
+        others.back()->start();
+    }
+    for (const auto &one : others) {
+        if (!one->awaitReady(15'000)) {
+            RECORD.line("%s did not become ready", one->name().c_str());
+            return 2;
+        }
+    }
     client_book book;
     long termAt = 0;
     long thawedAt = 0;
--- a/review/standin/plain_server.h
+++ b/review/standin/plain_server.h
@@ -122,7 +122,7 @@
         const std::string id = in.header("X-Chestnutgw-Request-Id");
         const auto echo = [&] { // a server that leaves says so in all its answers
             return "X-Chestnutgw-Request-Id: " + id + "\r\nX-Chestnutgw-Response-Signature: " + m_id + "." + id + "\r\n"
-                + (m_leaving ? "Server-Leaving: 1\r\n" : "");
+                + (m_leaving ? "Server-Leaving: 1\r\nConnection: close\r\n" : "");
         };
         if (in.header("X-Chestnutgw-Target-Instance") != m_id) {
             return peer.send(answer("421 Misdirected Request", "", echo() + "X-Chestnutgw-Not-Executed: 1\r\n"));
@@ -139,10 +139,11 @@
         if (m_listener.stopping()) {
             return false;
         }
-        const bool sent = peer.send(answer("200 OK", "done " + id, echo()));
+        const std::string headers = echo();
+        const bool sent = peer.send(answer("200 OK", "done " + id, headers));
         const std::lock_guard lock(m_mutex);
         one->finished = sent;
-        return sent;
+        return sent && headers.find("Connection: close") == std::string::npos;
     }
 
     store &m_store;
