A stop signal that is handled late counts from when it may have been sent

Cause: the grace period was counted from when the signal was handled. The drain limit leaves 0.5 s, so every longer pause, or starvation of processor time, made the process outlive its grace period. Why it works: the loop's ticks bound the age of the signal, whatever kept the process from running, and the drain limit counts from there. stop_asked tells the bound and what is left.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,6 +1,7 @@
 // chestnutgw-gateway: routes client requests to the backend servers of the users' platform. This file only creates the parts
 // and connects them; docs/DESIGN.md describes them.
 
+#include "core/late_event.h"
 #include "core/store_pace.h"
 #include "gateway/control_plane.h"
 #include "gateway/front_server.h"
@@ -94,6 +95,7 @@
     // Measures how late the traffic thread runs a timer and the control thread runs a task.
     void measureDelays(steady_time now);
     void awaitSignal();
+    void beginDrain(int signal);
     void drainStep();
     void reportDropped();
 
@@ -114,8 +116,9 @@
     asio::steady_timer m_drainTimer;
     asio::steady_timer m_dropTimer;
     asio::steady_timer m_loadTimer;
-    std::set<std::string> m_members; // every instance ever registered; traffic thread only
-    steady_time m_drainBegan{};
+    std::set<std::string> m_members;                                  // every instance ever registered; traffic thread only
+    late_event_bound m_signalBound{std::chrono::steady_clock::now()}; // traffic thread only
+    steady_time m_drainBegan{};                                       // when the signal to stop was handled
     bool m_idleClosed = false;
     bool m_listenerClosed = false;
     bool m_aborted = false;
@@ -234,6 +237,7 @@
 {
     const steady_time now = std::chrono::steady_clock::now();
     m_state.pauses.noteRunning(now);
+    m_signalBound.noteTick(now);
     measureDelays(now);
     m_counters.set("peers_live", m_state.peers.livePeers(now));
     const auto left = std::chrono::ceil<milliseconds>(m_state.drainEnd - now);
@@ -285,37 +289,52 @@
             awaitSignal();
             return;
         }
-        logLine(log_level::info, "stop_asked", {{"signal", std::to_string(signal)}, {"open_requests", std::to_string(m_state.openRequests)}});
-        m_drainBegan = std::chrono::steady_clock::now();
-        m_state.drainEnd = m_drainBegan + m_state.settings.drainLimit();
-        m_front.beginDrain();
-        drainStep();
+        beginDrain(signal);
     });
 }
 
+// The platform counts the grace period from when it sent the signal, which may have waited while this process did not run.
+void gateway_process::beginDrain(int signal)
+{
+    m_drainBegan = std::chrono::steady_clock::now();
+    const steady_time sent = m_signalBound.earliest();
+    m_state.drainEnd = sent + m_state.settings.drainLimit();
+    const auto signalAge = std::chrono::duration_cast<milliseconds>(m_drainBegan - sent);
+    const auto left = std::chrono::duration_cast<milliseconds>(m_state.drainEnd - m_drainBegan);
+    m_counters.set("stop_signal_max_age_ms", static_cast<double>(signalAge.count()));
+    logLine(log_level::info, "stop_asked",
+            {{"signal", std::to_string(signal)},
+             {"max_age_ms", std::to_string(signalAge.count())},
+             {"left_ms", std::to_string(left.count())},
+             {"open_requests", std::to_string(m_state.openRequests)}});
+    m_front.beginDrain();
+    drainStep();
+}
+
 // Called periodically while draining: requests are served until the load balancer sends no new ones and those in flight have
 // ended, at most until the drain limit. The listener closes then, and the process ends once all client connections have ended.
 // Requests that are still in flight at the drain limit get an error answer.
 void gateway_process::drainStep()
 {
-    const auto elapsed = std::chrono::steady_clock::now() - m_drainBegan;
+    const steady_time now = std::chrono::steady_clock::now();
+    const auto elapsed = now - m_drainBegan;
     if (!m_idleClosed && elapsed >= IDLE_CLOSE_DELAY) {
         m_idleClosed = true;
         m_front.closeIdle();
     }
-    const milliseconds limit = m_state.settings.drainLimit();
+    const bool limitReached = now >= m_state.drainEnd;
     const bool quiet = elapsed >= IDLE_CLOSE_DELAY + DRAIN_CHECK_INTERVAL * 4 && m_front.busySessions() == 0;
-    if (!m_listenerClosed && (quiet || elapsed >= limit)) {
+    if (!m_listenerClosed && (quiet || limitReached)) {
         m_listenerClosed = true;
         m_front.stopAccepting();
     }
-    if (!m_aborted && elapsed >= limit) {
+    if (!m_aborted && limitReached) {
         m_aborted = true;
         logLine(log_level::warning, "drain_limit_reached",
                 {{"open_requests", std::to_string(m_state.openRequests)}, {"busy_connections", std::to_string(m_front.busySessions())}});
         m_front.abortSessions();
     }
-    if ((m_listenerClosed && m_front.openSessions() == 0) || elapsed >= limit + ABORT_TIME) {
+    if ((m_listenerClosed && m_front.openSessions() == 0) || now >= m_state.drainEnd + ABORT_TIME) {
         logLine(log_level::info, "stopped",
                 {{"open_requests", std::to_string(m_state.openRequests)}, {"busy_connections", std::to_string(m_front.busySessions())}});
         m_context.stop();
--- a/tests/gateway_pause_test.cpp
+++ b/tests/gateway_pause_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -45,6 +46,43 @@
     CHECK(site.gateways[0]->wait() == 0);
 }
 
+// Guards against requests that are accepted behind a late signal to stop and lost when the platform kills the process.
+TEST_CASE("a process that is told to stop during a pause ends within the grace period counted from the signal", "[failure]")
+{
+    constexpr milliseconds GRACE{5000};
+    constexpr milliseconds WORK{300}; // of the server for a request
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        std::this_thread::sleep_for(WORK);
+        out.write(answer(in, "hello"));
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start({"instance.grace=5"});
+    const std::string front = site.front();
+    child_process &gateway = *site.gateways[0];
+    gateway.signal(SIGSTOP);
+    const steady_time asked = std::chrono::steady_clock::now();
+    gateway.signal(SIGTERM);
+    std::this_thread::sleep_for(PAUSE);
+    gateway.signal(SIGCONT);
+    int lost = 0;
+    int next = 0;
+    while (!gateway.hasEnded() && std::chrono::steady_clock::now() < asked + GRACE) {
+        const int before = server.count();
+        int status = 0;
+        try {
+            status = statusOf(test::exchange(front, makeRequest("/once/", "id" + std::to_string(++next))));
+        } catch (const std::exception &) {
+            break; // the listener is closed
+        }
+        lost += status == 0 && server.count() > before ? 1 : 0;
+    }
+    CHECK(eventually([&] { return gateway.hasEnded(); }));
+    CHECK(std::chrono::steady_clock::now() - asked < GRACE);
+    CHECK(lost == 0);
+}
+
 TEST_CASE("a key that was withdrawn during a pause is not accepted afterwards", "[failure]")
 {
     scripted_server server(answering("hello"));
