A stopping instance accepts late requests only if their deadline lies before its end

Plain requests of routes without a timeout were accepted to the end. Cause: admission went by one smoothed mean duration of the streams of all services, learnt only from those that ended whole in one run. Why it works: what is certain is the deadline. From 2.3 s on, when the load balancer sends no new clients, a request is accepted only if its deadline lies in the drain period; before, a stream is accepted if it usually ends, by an estimate for its service which also learns from streams that were moved, cut or left.

--- a/src/core/stream_duration_estimator.h
+++ b/src/core/stream_duration_estimator.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Estimates how long a stream takes, from the streams that have ended. No I/O.
+// Estimates how long a stream of one service takes, from the streams that have ended. An estimate, no bound: a server may become slower
+// than those before. No I/O.
 //
 // Designed for a rolling stop of the instances. Each should accept requests as long as it can still finish them, since a
 // client whose request is refused is likely to reach the next instance that is stopping.
@@ -13,7 +14,7 @@
 class stream_duration_estimator
 {
 public:
-    // Adds a stream that ended: time to its first event, time from there to its last event, number of events.
+    // Adds a stream that ended, also one that was broken off: time to its first event, time from there to its last event, number of events.
     void addSample(milliseconds first, milliseconds rest, std::uint64_t events);
     // Upper estimate: nearly all streams with this number of events take less time.
     milliseconds upperEstimate(double events) const;
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -94,9 +94,16 @@
     }
 }
 
-milliseconds client_session::maxAnswerTime(const request_facts &facts) const
+bool client_session::endsBeforeStop(const request_facts &facts, steady_time now)
 {
-    return facts.matched->kind == route_kind::stream ? m_state.streamTime.upperEstimate(maxEvents(facts)) + SERVER_SILENCE : facts.matched->timeout;
+    if (!m_state.draining) {
+        return true;
+    }
+    expected_end expected{facts.deadline};
+    if (facts.matched->kind == route_kind::stream) {
+        expected.usualDuration = m_state.streamTimeOf(facts.service).upperEstimate(maxEvents(facts)) + SERVER_SILENCE;
+    }
+    return acceptsWhileDraining(m_state.drain, expected, now);
 }
 
 milliseconds client_session::drainRetryAfter(steady_time now)
@@ -105,7 +112,7 @@
     if (peers.ready > peers.stopping) {
         return DRAIN_RETRY;
     }
-    const auto ownEnd = std::chrono::ceil<milliseconds>(m_state.drainEnd - now);
+    const auto ownEnd = std::chrono::ceil<milliseconds>(m_state.drain.end - now);
     const milliseconds firstEnd = std::min(peers.firstEnd.value_or(ownEnd), ownEnd);
     const auto spread = std::chrono::duration_cast<milliseconds>(RETRY_JITTER * m_state.draw());
     return std::max(DRAIN_RETRY, firstEnd) + RESTART_TIME + spread;
@@ -307,8 +314,9 @@
     facts.deadline = facts.accepted + answerTime(parseLeadingNumber(viewOf(message[headerNames.deadline])), facts.matched->timeout);
     readTokenCounts(message, headerNames, facts);
     readPromptParts(message, headerNames, facts);
-    if (m_state.draining && facts.accepted + maxAnswerTime(facts) > m_state.drainEnd) {
-        co_await rejectRequest(503, "stopping", facts.id, drainRetryAfter(facts.accepted));
+    const steady_time now = std::chrono::steady_clock::now(); // what is known may have had to be confirmed meanwhile
+    if (!endsBeforeStop(facts, now)) {
+        co_await rejectRequest(503, "stopping", facts.id, drainRetryAfter(now));
         co_return false;
     }
     co_return true;
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -73,8 +73,8 @@
     asio::awaitable<void> endUnanswered(const request_facts &facts, request_outcome &outcome, const std::string &failure);
     // Determines the properties of the request. False if it was rejected; the error answer has then been sent.
     asio::awaitable<bool> admit(const client_message &message, request_facts &facts);
-    // Longest time that the answer should take. A stopping instance accepts only requests that end before it stops.
-    milliseconds maxAnswerTime(const request_facts &facts) const;
+    // False if the instance is stopping and the request might not end before it does.
+    bool endsBeforeStop(const request_facts &facts, steady_time now);
     // Retry-After for requests that a stopping instance rejects: short while most of the other instances are not stopping, else until
     // the first of the stopping instances has restarted.
     milliseconds drainRetryAfter(steady_time now);
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -69,6 +69,7 @@
             break;
         }
     }
+        noteDuration();
     if (!m_abandoned) {
         co_await finishFailed(reason);
     }
@@ -319,10 +320,6 @@
     }
     m_outcome.reason = "complete";
     m_outcome.lastEnd = attempt_end::answered;
-    if (m_outcome.runs == 1 && attempt.splitter.events() > 0) {
-        const auto rest = std::chrono::duration_cast<milliseconds>(m_lastEvent - m_facts.accepted) - m_outcome.firstByte;
-        m_state.streamTime.addSample(m_outcome.firstByte, rest, attempt.splitter.events());
-    }
     co_await m_sink.finishStream();
     co_return attempt_result::complete;
 }
@@ -372,7 +369,8 @@
             m_state.health.noteAlive(stage.address, now);
         }
     }
-    m_outcome.events = attempt.splitter.events();
+    m_outcome.events += attempt.splitter.events() - attempt.eventsForwarded;
+    attempt.eventsForwarded = attempt.splitter.events();
     const bool written = co_await m_sink.writeStream(events);
     attempt.blockedByClient = false;
     attempt.lastData = std::chrono::steady_clock::now();
@@ -494,4 +492,14 @@
     return found == m_facts.config->services.end() || !found->second.engine || found->second.engine->layers <= 0 ? nullptr : &found->second;
 }
 
+// Also of streams that were moved, broken off or left by their clients: these are often the slow ones.
+void generation_flow::noteDuration()
+{
+    if (m_outcome.events == 0) {
+        return;
+    }
+    const auto rest = std::chrono::duration_cast<milliseconds>(m_lastEvent - m_facts.accepted) - m_outcome.firstByte;
+    m_state.streamTimeOf(m_facts.service).addSample(m_outcome.firstByte, rest, m_outcome.events);
+}
+
 }
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -121,6 +121,8 @@
     void reportNoPath();
     // True if a report that was due at that time may be missing because a thread of this process is late.
     bool isOwnDelay(steady_time due) const;
+    // Adds the stream, as far as it has come, to what is known about the duration of its service's streams.
+    void noteDuration();
     // True if the route's streams can be resumed and the limit of attempts is not reached.
     bool mayResume() const;
     // Avoids the server that a refusal names as the one at fault, which need not be the first one of the path.
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,6 +1,7 @@
 // chestnutgw-gateway: routes client requests to the backend servers of the users' platform. This file only creates the parts
 // and connects them; docs/DESIGN.md describes them.
 
+#include "core/drain_admission.h"
 #include "core/late_event.h"
 #include "core/store_pace.h"
 #include "gateway/control_plane.h"
@@ -22,7 +23,6 @@
 using namespace chestnut;
 
 constexpr milliseconds DRAIN_CHECK_INTERVAL{50};
-constexpr milliseconds IDLE_CLOSE_DELAY{2300};   // two readiness checks of the load balancer have failed by then
 constexpr milliseconds ABORT_TIME{200};          // from the drain limit until the process ends: time to send the last error answers
 constexpr milliseconds LOAD_REPORT_INTERVAL{80}; // interval at which this instance's load is passed to the mesh
 constexpr milliseconds LOOP_DELAY_LOGGED{100};   // a thread that is later than this is logged
@@ -240,7 +240,7 @@
     m_signalBound.noteTick(now);
     measureDelays(now);
     m_counters.set("peers_live", m_state.peers.livePeers(now));
-    const auto left = std::chrono::ceil<milliseconds>(m_state.drainEnd - now);
+    const auto left = std::chrono::ceil<milliseconds>(m_state.drain.end - now);
     const milliseconds stopping = m_state.draining ? std::max(left, milliseconds(1)) : milliseconds(0);
     m_control.post([this, stopping, loads = m_state.ownLoads(now), faulty = m_state.health.faulty(now)]() mutable {
         m_timeUntilStop = stopping;
@@ -298,9 +298,9 @@
 {
     m_drainBegan = std::chrono::steady_clock::now();
     const steady_time sent = m_signalBound.earliest();
-    m_state.drainEnd = sent + m_state.settings.drainLimit();
+    m_state.drain = {sent, sent + m_state.settings.drainLimit()};
     const auto signalAge = std::chrono::duration_cast<milliseconds>(m_drainBegan - sent);
-    const auto left = std::chrono::duration_cast<milliseconds>(m_state.drainEnd - m_drainBegan);
+    const auto left = std::chrono::duration_cast<milliseconds>(m_state.drain.end - m_drainBegan);
     m_counters.set("stop_signal_max_age_ms", static_cast<double>(signalAge.count()));
     logLine(log_level::info, "stop_asked",
             {{"signal", std::to_string(signal)},
@@ -318,12 +318,12 @@
 {
     const steady_time now = std::chrono::steady_clock::now();
     const auto elapsed = now - m_drainBegan;
-    if (!m_idleClosed && elapsed >= IDLE_CLOSE_DELAY) {
+    if (!m_idleClosed && elapsed >= OUT_OF_ROTATION) {
         m_idleClosed = true;
         m_front.closeIdle();
     }
-    const bool limitReached = now >= m_state.drainEnd;
-    const bool quiet = elapsed >= IDLE_CLOSE_DELAY + DRAIN_CHECK_INTERVAL * 4 && m_front.busySessions() == 0;
+    const bool limitReached = now >= m_state.drain.end;
+    const bool quiet = elapsed >= OUT_OF_ROTATION + DRAIN_CHECK_INTERVAL * 4 && m_front.busySessions() == 0;
     if (!m_listenerClosed && (quiet || limitReached)) {
         m_listenerClosed = true;
         m_front.stopAccepting();
@@ -334,7 +334,7 @@
                 {{"open_requests", std::to_string(m_state.openRequests)}, {"busy_connections", std::to_string(m_front.busySessions())}});
         m_front.abortSessions();
     }
-    if ((m_listenerClosed && m_front.openSessions() == 0) || now >= m_state.drainEnd + ABORT_TIME) {
+    if ((m_listenerClosed && m_front.openSessions() == 0) || now >= m_state.drain.end + ABORT_TIME) {
         logLine(log_level::info, "stopped",
                 {{"open_requests", std::to_string(m_state.openRequests)}, {"busy_connections", std::to_string(m_front.busySessions())}});
         m_context.stop();
--- a/src/gateway/stream_attempt.h
+++ b/src/gateway/stream_attempt.h
@@ -61,6 +61,7 @@
     asio::steady_timer stallTimer; // cancelled when the attempt ends
     std::string firstPiece;        // of the body, read while opening
     event_splitter splitter;
+    std::uint64_t eventsForwarded = 0;       // to the client
     server_process process;                  // of the first server
     std::unique_ptr<part_exposure> exposure; // null until the request is sent
     steady_time sent{};                      // when the request was sent, 0 = it was not
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -107,6 +107,11 @@
     return budget;
 }
 
+stream_duration_estimator &traffic_state::streamTimeOf(const service_id &service)
+{
+    return m_streamTimes[service];
+}
+
 std::vector<server_load> traffic_state::ownLoads(steady_time now) const
 {
     std::vector<server_load> loads;
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -4,6 +4,7 @@
 // flight. Only this thread accesses it; the control thread passes immutable snapshots to it.
 
 #include "core/domain_link.h"
+#include "core/drain_admission.h"
 #include "core/gateway_types.h"
 #include "core/layer_path.h"
 #include "core/part_quarantine.h"
@@ -94,14 +95,13 @@
     part_reporter partReports;
     server_end_check endChecks;
     int knownInstances = 1;               // including this one; the extra repeats are divided by it
-    stream_duration_estimator streamTime; // estimated from the streams of this instance
     upstream_pool pool;
     pcg32 random;
     log_line_limiter logLimiter;
     log_line_limiter clientErrorLimiter; // of rejections that put the blame on the request: they are not to be lost among other lines
     pause_recovery pauses;
     bool draining = false;               // shutdown is in progress
-    steady_time drainEnd{};              // latest end of the process; valid while draining
+    drain_period drain{};                // valid while draining
     int openRequests = 0;                // received, not fully answered yet
     std::size_t bufferedAnswerBytes = 0; // of plain answers that are being received
     double linkTokens = 0;               // of this instance's prompts that are on their way between failure domains
@@ -131,6 +131,8 @@
     server_process processOf(const server_id &server) const;
     // This instance's part of the repeat budget of a service.
     repeat_budget &budgetOf(const service_id &service);
+    // How long the streams of a service take, estimated from those of this instance.
+    stream_duration_estimator &streamTimeOf(const service_id &service);
     // Uniformly distributed random number in [0, 1).
     double draw();
 
@@ -169,6 +171,7 @@
     };
 
     std::map<service_id, repeat_budget> m_budgets;
+    std::map<service_id, stream_duration_estimator> m_streamTimes;
     std::vector<former_limits> m_formerLimits;
 };
 
--- /dev/null
+++ b/tests/gateway_stop_test.cpp
@@ -0,0 +1,107 @@
+// Tests which requests chestnutgw-gateway accepts during a planned stop, as a process between clients and scripted servers.
+
+#include "gateway_deployment.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <thread>
+
+using namespace chestnut;
+using namespace chestnut::test;
+
+namespace
+{
+
+constexpr milliseconds LATE{3200};       // after SIGTERM: the load balancer sends no new clients any more
+constexpr milliseconds EVENT_GAP{150};   // of the slow server
+constexpr int SLOW_LAST_EVENT = 59;      // 9 s, longer than the grace period
+constexpr int SHORT_LAST_EVENT = 5;
+constexpr int STREAM_LIMIT_MS = 9000;
+
+// Sends a stream slowly, until its client or the gateway closes the connection.
+bool streamSlowly(raw_connection &out, const raw_request &in)
+{
+    out.write(streamHead(in));
+    for (int id = 0; id <= SLOW_LAST_EVENT; ++id) {
+        out.write(chunk(event(id)));
+        if (out.waitForClose(static_cast<int>(EVENT_GAP.count()))) {
+            return false;
+        }
+    }
+    out.write("0\r\n\r\n");
+    return true;
+}
+
+std::string withDeadline(std::string request, int ms)
+{
+    const std::string usual = "X-Chestnutgw-Deadline-Ms: 6000";
+    return request.replace(request.find(usual), usual.size(), "X-Chestnutgw-Deadline-Ms: " + std::to_string(ms));
+}
+
+}
+
+// Guards against streams that are accepted late in a stop because others were fast, and are cut when the process ends.
+TEST_CASE("a stream that arrives late in a stop is rejected unless its deadline lies before the end", "[failure]")
+{
+    std::atomic<bool> go = false;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.write(report(in));
+            return true;
+        }
+        if (in.header("X-Chestnutgw-Request-Id").starts_with("slow")) {
+            return streamSlowly(out, in);
+        }
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return go.load(); });
+        out.write(events(2, SHORT_LAST_EVENT) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "first"));
+    REQUIRE(client.readUntil("piece1").find("Connection: keep-alive") != std::string::npos);
+    site.gateways[0]->signal(SIGTERM);
+    std::this_thread::sleep_for(LATE);
+    go = true;
+    CHECK(client.readUntil("0\r\n\r\n").find("piece5") != std::string::npos);
+    const int before = server.count();
+    client.write(makeRequest("/stream/", "slow"));
+    const std::string rejected = client.readUntil("\x01never", STREAM_LIMIT_MS);
+    CHECK(rejected.find("HTTP/1.1 503") != std::string::npos);
+    CHECK(rejected.find("Retry-After:") != std::string::npos);
+    CHECK(server.count() == before);
+    CHECK(site.gateways[0]->wait() == 0);
+}
+
+TEST_CASE("a stream that arrives late in a stop is answered if its deadline lies before the end", "[failure]")
+{
+    std::atomic<bool> go = false;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.write(report(in));
+            return true;
+        }
+        out.write(streamHead(in) + events(0, 1));
+        eventually([&] { return go.load(); });
+        out.write(events(2, SHORT_LAST_EVENT) + "0\r\n\r\n");
+        return true;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", server.address(), 0, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "first"));
+    REQUIRE(client.readUntil("piece1").find("Connection: keep-alive") != std::string::npos);
+    site.gateways[0]->signal(SIGTERM);
+    std::this_thread::sleep_for(LATE);
+    go = true;
+    const std::string first = client.readUntil("0\r\n\r\n");
+    CHECK(first.find("piece5") != std::string::npos);
+    client.write(withDeadline(makeRequest("/stream/", "second"), 3800));
+    const std::string both = client.readUntil("\x01never", STREAM_LIMIT_MS);
+    CHECK(isWholeStream(both.substr(first.size()), SHORT_LAST_EVENT));
+    CHECK(site.gateways[0]->wait() == 0);
+}
