Incomplete messages of all exchanges together are limited

Cause: unfinished events, error bodies, skipped bodies, heads and bodies of requests had a limit each and none together. Where there was one, for plain bodies, it ended whichever answer came next. Why it works: one quota counts them all; over 32 MB an exchange that keeps more than 32 KB is ended, small ones go on. What is skipped is not kept.

--- a/src/core/event_splitter.h
+++ b/src/core/event_splitter.h
@@ -22,6 +22,11 @@
     {
         return m_pending.size();
     }
+    // Memory that is in use for it.
+    std::size_t pendingCapacity() const
+    {
+        return m_pending.capacity();
+    }
     // Discards the incomplete event, for example after its connection was lost.
     void dropPending()
     {
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds UNKNOWN_CONFIG_RETRY{400}; // Retry-After: a starting instance has loaded its configuration by then
 constexpr milliseconds CLOSING_WAIT{200};         // time for a request that the client may have sent before it learns that the connection closes
 constexpr milliseconds CLOSE_LINGER{500};         // a closing connection waits this long for the client to close it too
+constexpr milliseconds BUFFER_RETRY{500};         // Retry-After if incomplete messages take too much memory: most have ended by then
+constexpr std::size_t BODY_COPIES = 2;            // of a request's body: as received, and as sent to a server
 constexpr std::size_t BODY_READ_BYTES = 64 * 1024;
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024; // of further requests, buffered while one is being answered
 constexpr milliseconds FULL_BUFFER_CHECK{100};          // between two looks at a client that has sent more than that
@@ -46,6 +48,7 @@
     , m_socket(std::move(socket))
     , m_timer(state.context)
     , m_watchTimer(state.context)
+    , m_buffered(state.buffers)
     , m_createFlow(std::move(createFlow))
 {
     const int native = m_socket.native_handle();
@@ -232,6 +235,10 @@
         if (parser.is_done() || (error && error != http::error::need_more)) {
             co_return error;
         }
+        m_buffered.set(BODY_COPIES * parser.get().body().size() + m_buffer.size());
+        if (m_buffered.exceeded()) {
+            co_return http::error::buffer_overflow;
+        }
         if (m_buffer.size() > MAX_UNPARSED_BYTES) { // an endless extension of a chunk, or endless trailers
             co_return http::error::header_limit;
         }
@@ -257,12 +264,17 @@
     m_keepAlive = false;
     int status = 400;
     const char *reason = "malformed_request";
+    milliseconds retryAfter{0};
     if (error == http::error::header_limit) {
         status = 431;
         reason = "headers_too_large";
     } else if (error == http::error::body_limit) {
         status = 413;
         reason = "body_too_large";
+    } else if (error == http::error::buffer_overflow) {
+        status = 503;
+        reason = "out_of_buffers";
+        retryAfter = BUFFER_RETRY;
     } else if (error == asio::error::timed_out) {
         status = 408;
         reason = "request_too_slow";
@@ -272,7 +284,7 @@
     }
     m_state.counters.count("requests_unreadable", {{"reason", reason}});
     logLine(log_level::info, "request_unreadable", {{"request", id}, {"reason", reason}, {"error", error.message()}});
-    co_await rejectRequest(status, reason, id);
+    co_await rejectRequest(status, reason, id, retryAfter);
 }
 
 //-----------------------------------------------------------------------------
@@ -331,6 +343,7 @@
         m_serving = false;
         --m_state.openRequests;
         m_flow.reset();
+        m_buffered.set(0);
         ++m_requestEpoch;
         cancelOperations(); // watchClient()
         m_watchTimer.cancel();
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -95,6 +95,7 @@
     asio::steady_timer m_watchTimer; // between two looks at a client whose data fills the buffer
     std::uint64_t m_timeouts = 0;    // number of calls of startTimeout() and stopTimeout(), so that a stale timer event is ignored
     beast::flat_buffer m_buffer;
+    buffered_bytes m_buffered; // of the request that is being received or answered
     flow_factory m_createFlow;
     answer_progress m_answer = answer_progress::none; // of the current request
     std::shared_ptr<request_flow> m_flow;             // in progress, else null
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -208,8 +208,7 @@
         --m_outcome.runs;
         exchange.noteRefused();
         noteRefusal(head, exchange.address());
-        std::string ignored; // read, so that the connection can be reused
-        co_await exchange.readBody(ignored, MAX_ERROR_BODY_BYTES, std::chrono::steady_clock::now() + CONNECT_TIMEOUT);
+        co_await exchange.skipBody(MAX_ERROR_BODY_BYTES, std::chrono::steady_clock::now() + CONNECT_TIMEOUT); // so that the connection can be reused
         co_return opening_state::not_run;
     }
     if (isUnusable(head)) {
@@ -283,7 +282,8 @@
         if (!events.empty() && !co_await forwardEvents(attempt, events)) {
             co_return attempt_result::client_gone;
         }
-        const bool endless = attempt.splitter.pendingBytes() > MAX_EVENT_BYTES;
+        attempt.buffered.set(attempt.splitter.pendingCapacity());
+        const bool endless = attempt.splitter.pendingBytes() > MAX_EVENT_BYTES || attempt.buffered.exceeded();
         const exchange_status status = endless ? exchange_status::broken : co_await exchange->readPiece(piece, m_facts.deadline);
         if (m_abandoned) {
             co_return attempt_result::client_gone;
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr std::size_t MAX_ANSWER_BYTES = std::size_t(16) << 20;
-constexpr std::size_t MAX_BUFFERED_BYTES = std::size_t(32) << 20; // of all answers that are being received; an instance may have 160 MB
 constexpr milliseconds CONNECT_TIMEOUT{300};
 constexpr milliseconds MIN_TRY_TIME{20};   // no server is tried with less time left
 constexpr milliseconds REFUSED_RETRY{250}; // Retry-After if no server could take the request: slots are free again after a few answers
@@ -237,7 +236,7 @@
         one.lastData = piece.empty() ? one.lastData : std::chrono::steady_clock::now();
         one.buffered.grow(piece.size());
         pieces.push_back(piece);
-    } while (status == exchange_status::ok && !piece.empty() && one.buffered.size() <= MAX_ANSWER_BYTES && m_state.bufferedAnswerBytes <= MAX_BUFFERED_BYTES);
+    } while (status == exchange_status::ok && !piece.empty() && one.buffered.size() <= MAX_ANSWER_BYTES && !one.buffered.exceeded());
     if (status != exchange_status::ok || !piece.empty()) {
         co_return status == exchange_status::ok ? exchange_status::broken : status;
     }
--- a/src/gateway/plain_flow.h
+++ b/src/gateway/plain_flow.h
@@ -31,7 +31,7 @@
     struct attempt
     {
         explicit attempt(traffic_state &state)
-            : buffered(state)
+            : buffered(state.buffers)
         {
         }
         listed_server server;
--- a/src/gateway/stream_attempt.h
+++ b/src/gateway/stream_attempt.h
@@ -29,6 +29,7 @@
         , exchange(std::move(exchangeWithFirst))
         , opened(state.context, steady_time::max())
         , stallTimer(state.context)
+        , buffered(state.buffers)
         , lastData(std::chrono::steady_clock::now())
     {
     }
@@ -61,6 +62,7 @@
     asio::steady_timer stallTimer; // cancelled when the attempt ends
     std::string firstPiece;        // of the body, read while opening
     event_splitter splitter;
+    buffered_bytes buffered;                 // bytes of the events that are kept
     std::uint64_t eventsForwarded = 0;       // to the client
     server_process process;                  // of the first server
     std::unique_ptr<part_exposure> exposure; // null until the request is sent
--- a/src/gateway/traffic_state.cpp
+++ b/src/gateway/traffic_state.cpp
@@ -47,7 +47,7 @@
     , quarantine(instance_id{gatewaySettings.name}, {gatewaySettings.quarantineEnds})
     , partReports(quarantine, gatewayCounters)
     , endChecks(ioContext)
-    , pool(ioContext)
+    , pool(ioContext, buffers)
     , random(std::hash<std::string>()(gatewaySettings.name))
     , logLimiter(gatewaySettings.logLinesPerSecond)
     , clientErrorLimiter(gatewaySettings.logLinesPerSecond)
--- a/src/gateway/traffic_state.h
+++ b/src/gateway/traffic_state.h
@@ -3,6 +3,7 @@
 // State of the traffic thread, which handles requests: configuration and servers in force, observed server health, work in
 // flight. Only this thread accesses it; the control thread passes immutable snapshots to it.
 
+#include "core/buffer_quota.h"
 #include "core/domain_link.h"
 #include "core/drain_admission.h"
 #include "core/gateway_types.h"
@@ -94,20 +95,20 @@
     part_quarantine quarantine; // parts of prompts that end servers
     part_reporter partReports;
     server_end_check endChecks;
-    int knownInstances = 1;               // including this one; the extra repeats are divided by it
+    int knownInstances = 1; // including this one; the extra repeats are divided by it
+    buffer_quota buffers;   // incomplete messages of clients and servers
     upstream_pool pool;
     pcg32 random;
     log_line_limiter logLimiter;
     log_line_limiter clientErrorLimiter; // of rejections that put the blame on the request: they are not to be lost among other lines
     pause_recovery pauses;
-    bool draining = false;               // shutdown is in progress
-    drain_period drain{};                // valid while draining
-    int openRequests = 0;                // received, not fully answered yet
-    std::size_t bufferedAnswerBytes = 0; // of plain answers that are being received
-    double linkTokens = 0;               // of this instance's prompts that are on their way between failure domains
-    milliseconds trafficDelay{0};        // last measured lateness of a timer of the traffic thread
-    milliseconds controlDelay{0};        // last measured time from posting a task to the control thread until it ran
-    steady_time controlProbeSent{};      // when the task was posted that the control thread has not run yet; 0 = none
+    bool draining = false;          // shutdown is in progress
+    drain_period drain{};           // valid while draining
+    int openRequests = 0;           // received, not fully answered yet
+    double linkTokens = 0;          // of this instance's prompts that are on their way between failure domains
+    milliseconds trafficDelay{0};   // last measured lateness of a timer of the traffic thread
+    milliseconds controlDelay{0};   // last measured time from posting a task to the control thread until it ran
+    steady_time controlProbeSent{}; // when the task was posted that the control thread has not run yet; 0 = none
 
     // Age of the oldest task that the control thread has not run, or the last measured delay if that is longer.
     milliseconds controlDelayAt(steady_time now) const;
@@ -175,35 +176,6 @@
     std::vector<former_limits> m_formerLimits;
 };
 
-// Counts bytes of one answer in traffic_state::bufferedAnswerBytes until it is destroyed.
-class buffered_bytes
-{
-public:
-    explicit buffered_bytes(traffic_state &state)
-        : m_state(state)
-    {
-    }
-    ~buffered_bytes()
-    {
-        m_state.bufferedAnswerBytes -= m_bytes;
-    }
-    buffered_bytes(const buffered_bytes &) = delete;
-    buffered_bytes &operator=(const buffered_bytes &) = delete;
-    std::size_t size() const
-    {
-        return m_bytes;
-    }
-    void grow(std::size_t bytes)
-    {
-        m_bytes += bytes;
-        m_state.bufferedAnswerBytes += bytes;
-    }
-
-private:
-    traffic_state &m_state;
-    std::size_t m_bytes = 0;
-};
-
 // Adds a generation's tokens to the load of the servers on its path and a running request to the first; removes both on destruction.
 // Until noteTransferred() its prompt also loads the network between failure domains, once for each hop.
 class path_load
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -31,9 +31,10 @@
 constexpr std::size_t PIECE_BYTES = 16 * 1024;
 constexpr std::size_t ANSWER_HEADER_BYTES = 64 * 1024;
 constexpr std::size_t MAX_IDLE_PER_SERVER = 48;
-constexpr milliseconds LATE_DATA_LIMIT{1000}; // after the time limit, data that has arrived by then is still read for this long
-constexpr int MAX_SKIPPED_ANSWERS = 4;        // interim (1xx) answers and late answers to other requests
-constexpr std::size_t MAX_REFUSED_IDS = 16;   // kept for each connection
+constexpr milliseconds LATE_DATA_LIMIT{1000};                   // after the time limit, data that has arrived by then is still read for this long
+constexpr int MAX_SKIPPED_ANSWERS = 4;                          // interim (1xx) answers and late answers to other requests
+constexpr std::size_t MAX_SKIPPED_BYTES = std::size_t(1) << 22; // of the body of a late answer to another request
+constexpr std::size_t MAX_REFUSED_IDS = 16;                     // kept for each connection
 
 std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
 {
@@ -155,6 +156,7 @@
     : m_pool(pool)
     , m_address(std::move(address))
     , m_requestId(std::move(requestId))
+    , m_buffered(pool.buffers())
 {
 }
 
@@ -243,8 +245,7 @@
         m_parser->header_limit(ANSWER_HEADER_BYTES);
         m_parser->skip(m_noBody);
         m_connection->stream.expires_at(until);
-        error_code error;
-        co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, into(error));
+        const error_code error = co_await receiveHead();
         if (error) {
             co_return translate(error);
         }
@@ -260,8 +261,7 @@
             setReuseDeadline();
             co_return exchange_status::ok;
         }
-        std::string other;
-        const exchange_status rest = co_await readBody(other, std::size_t(1) << 22, until);
+        const exchange_status rest = co_await skipBody(MAX_SKIPPED_BYTES, until);
         if (rest != exchange_status::ok || !m_head.keepAlive) {
             co_return rest == exchange_status::ok ? exchange_status::broken : rest;
         }
@@ -270,6 +270,19 @@
     co_return exchange_status::broken;
 }
 
+asio::awaitable<error_code> upstream_exchange::receiveHead()
+{
+    error_code error;
+    while (!error && !m_parser->is_header_done()) {
+        co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, into(error));
+        m_buffered.set(m_connection->buffer.capacity());
+        if (!error && m_buffered.exceeded()) {
+            error = http::error::buffer_overflow;
+        }
+    }
+    co_return error;
+}
+
 void upstream_exchange::noteRefused()
 {
     m_connection->refused.push_back(m_requestId);
@@ -341,13 +354,28 @@
             co_return status;
         }
         body += piece;
+        m_buffered.set(body.capacity());
         if (piece.empty()) {
             co_return exchange_status::ok;
         }
-        if (body.size() > limit) {
+        if (body.size() > limit || m_buffered.exceeded()) {
             co_return exchange_status::broken;
         }
     }
 }
 
+asio::awaitable<exchange_status> upstream_exchange::skipBody(std::size_t limit, steady_time until)
+{
+    std::string piece;
+    std::size_t skipped = 0;
+    while (skipped <= limit) {
+        const exchange_status status = co_await readPiece(piece, until);
+        if (status != exchange_status::ok || piece.empty()) {
+            co_return status;
+        }
+        skipped += piece.size();
+    }
+    co_return exchange_status::broken;
+}
+
 }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -3,6 +3,7 @@
 // Pooled HTTP connections to backend servers, and a single request/answer exchange on one of them (Boost.Beast). A request is
 // never resent automatically. Not thread-safe: everything runs on one thread.
 
+#include "core/buffer_quota.h"
 #include "kernel/ids.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -60,8 +61,9 @@
 class upstream_pool
 {
 public:
-    explicit upstream_pool(asio::io_context &context)
+    upstream_pool(asio::io_context &context, buffer_quota &buffers)
         : m_context(context)
+        , m_buffers(buffers)
     {
     }
     // Returns an idle connection that is still open and has no unread data, or null. None on which the server has refused the request
@@ -75,8 +77,14 @@
         return m_context;
     }
 
+    buffer_quota &buffers()
+    {
+        return m_buffers;
+    }
+
 private:
     asio::io_context &m_context;
+    buffer_quota &m_buffers;
     std::unordered_map<std::string, std::deque<std::unique_ptr<upstream_connection>>> m_idle;
 };
 
@@ -119,8 +127,10 @@
     void noteRefused();
     // Reads the next piece of the body. An empty piece with status ok means that the answer is complete.
     asio::awaitable<exchange_status> readPiece(std::string &piece, steady_time until);
-    // Reads the whole body; `broken` if it is longer than `limit`.
+    // Reads the whole body; `broken` if it is longer than `limit`, or if all exchanges together keep too much.
     asio::awaitable<exchange_status> readBody(std::string &body, std::size_t limit, steady_time until);
+    // Reads the body without keeping it; `broken` if it is longer than `limit`.
+    asio::awaitable<exchange_status> skipBody(std::size_t limit, steady_time until);
 
     const answer_head &head() const
     {
@@ -157,6 +167,8 @@
     using head_parser = http::response_parser<http::buffer_body>;
 
     exchange_status translate(boost::system::error_code error);
+    // Reads until the parser has a whole head.
+    asio::awaitable<boost::system::error_code> receiveHead();
     void storeHead();
     void setReuseDeadline();
 
@@ -165,6 +177,7 @@
     std::string m_requestId;
     std::unique_ptr<upstream_connection> m_connection;
     std::optional<head_parser> m_parser;
+    buffered_bytes m_buffered; // of the head, and of the body in readBody()
     answer_head m_head;
     std::string m_error;
     bool m_sent = false;
--- a/tests/gateway_deployment.cpp
+++ b/tests/gateway_deployment.cpp
@@ -139,9 +139,9 @@
     store.put("keyed.op", "config", config.dump());
 }
 
-void deployment::addServer(const std::string &id, const std::string &service, const std::string &address, int from, int to, const std::string &state)
+void deployment::addServer(const std::string &id, const std::string &service, const std::string &address, int from, int to, const std::string &state, int slots)
 {
-    json entry{{"Service", service}, {"Address", address}, {"Zone", "a"}, {"BatchSlots", 6}, {"State", state}};
+    json entry{{"Service", service}, {"Address", address}, {"Zone", "a"}, {"BatchSlots", slots}, {"State", state}};
     if (to > 0) {
         entry["RouteType"] = "k";
         entry["Models"] = {{{"Name", "m"}, {"Layers", {{"From", from}, {"Target", to}}}}};
--- a/tests/gateway_deployment.h
+++ b/tests/gateway_deployment.h
@@ -46,8 +46,9 @@
 
     // Writes a configuration with one plain and one engine service and a route of each kind; `changes` is a JSON merge patch.
     void publish(int version, const nlohmann::json &changes = nlohmann::json::object());
-    // Lists a server; `to` > 0 gives it the layers from `from` to `to`, exclusive.
-    void addServer(const std::string &id, const std::string &service, const std::string &address, int from = 0, int to = 0, const std::string &state = "ready");
+    // Lists a server; `to` > 0 gives it the layers from `from` to `to`, exclusive. It runs `slots` requests at a time.
+    void addServer(const std::string &id, const std::string &service, const std::string &address, int from = 0, int to = 0, const std::string &state = "ready",
+                   int slots = 6);
     child_process &startGateway(const std::string &name = "g1", int endpoint = 0, const std::vector<std::string> &moreSettings = {});
     std::string front(std::size_t gateway = 0) const;
     int readyStatus(std::size_t gateway = 0) const;
--- a/tests/gateway_endless_test.cpp
+++ b/tests/gateway_endless_test.cpp
@@ -43,6 +43,18 @@
 
 constexpr int ENDLESS_ANSWERS = 6;
 
+constexpr int ENDLESS_EXCHANGES = 200;          // at a time
+constexpr long INSTANCE_MEMORY_KB = 160 * 1024; // of the smallest instance
+
+// Answers whose bodies have no end.
+struct many_endless
+{
+    const char *name;
+    std::string path;   // of the requests
+    std::string status; // of the answers
+    std::string begin;  // of each chunk
+};
+
 }
 
 TEST_CASE("an answer without end is given up and costs little memory", "[failure]")
@@ -68,6 +80,45 @@
     CHECK(site.gateways[0]->peakMemoryKb() - before < MAX_GROWTH_KB);
 }
 
+// Guards against answers without end that each stay within their own limit and together exceed the memory of the instance.
+TEST_CASE("many answers without end at a time leave memory for the requests of others", "[failure]")
+{
+    const many_endless form = GENERATE(many_endless{"unfinished event", "/single/", "200 OK", "data: "},
+                                       many_endless{"error body", "/single/", "500 Error", ""}, many_endless{"plain body", "/once/", "200 OK", ""});
+    CAPTURE(form.name);
+    std::atomic<int> begun = 0;
+    scripted_server endless([&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.write(report(in));
+            return true;
+        }
+        ++begun;
+        eventually([&] { return begun >= ENDLESS_EXCHANGES; });
+        out.write("HTTP/1.1 " + form.status + "\r\n" + SIGNATURE + "X-Chestnutgw-Request-Id: " + in.header("X-Chestnutgw-Request-Id")
+                  + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+        out.writeUntilClosed(chunk(form.begin + FILLER), 2 * CLOSE_LIMIT_MS);
+        return false;
+    });
+    scripted_server good(answering("good"));
+    deployment site;
+    site.addServer("i-1", "lm", endless.address(), 0, 4, "ready", ENDLESS_EXCHANGES);
+    site.addServer("i-2", "app", endless.address(), 0, 0, "ready", ENDLESS_EXCHANGES);
+    site.start();
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (int number = 0; number < ENDLESS_EXCHANGES; ++number) {
+        clients.push_back(std::make_unique<raw_client>(site.front()));
+        clients.back()->write(makeRequest(form.path, "endless" + std::to_string(number)));
+    }
+    REQUIRE(eventually([&] { return begun >= ENDLESS_EXCHANGES; }));
+    for (const auto &client : clients) {
+        CHECK(statusOf(client->readUntil("\r\n\r\n", CLOSE_LIMIT_MS)) >= 502);
+    }
+    CHECK(site.gateways[0]->peakMemoryKb() < INSTANCE_MEMORY_KB);
+    site.addServer("i-3", "app", good.address());
+    site.addServer("i-2", "app", endless.address(), 0, 0, "draining");
+    CHECK(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/safe/", "good"))) == 200; }));
+}
+
 TEST_CASE("a stream whose event has no end is resumed on another server", "[failure]")
 {
     std::atomic<int> closed = 0;
