An answer is joined to a stream only if it continues it

Cause: a further answer was judged by its status class alone. Any bytes with a blank line were events, an answer without one ended the stream, and a second attempt took over with its first byte. Comment lines cleared the id of the last event. Why it works: before a byte of it goes out, the answer must have the status and media type of the stream's first answer and an event with a higher id than the last one sent. A success that is no stream at all is forwarded as the server sent it.

--- a/src/core/event_splitter.cpp
+++ b/src/core/event_splitter.cpp
@@ -59,6 +59,7 @@
         const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), id);
         // An id that does not begin with a number leaves the last one in place.
         if (error == std::errc() && end != line.data()) {
+            m_firstId = m_firstId.value_or(id);
             m_lastId = id;
         }
     }
--- a/src/core/event_splitter.h
+++ b/src/core/event_splitter.h
@@ -37,6 +37,11 @@
     {
         return m_lastId;
     }
+    // The same of the oldest complete event that has one.
+    std::optional<std::uint64_t> firstId() const
+    {
+        return m_firstId;
+    }
     // Number of complete events.
     std::uint64_t events() const
     {
@@ -48,6 +53,7 @@
     void countEvent(std::string_view event);
 
     std::string m_pending; // bytes after the last complete event
+    std::optional<std::uint64_t> m_firstId;
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_events = 0;
 };
--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -1,6 +1,7 @@
 #include "gateway/generation_flow.h"
 
 #include "gateway/completion.h"
+#include "gateway/headers.h"
 #include "gateway/spawn.h"
 #include "kernel/scope.h"
 
@@ -26,6 +27,31 @@
 constexpr int MAX_CLIENT_PAUSES = 8;           // a client is expected to disconnect after this many times the route's longest acceptable pause
 constexpr std::size_t MAX_ERROR_BODY_BYTES = std::size_t(1) << 20;
 constexpr std::size_t MAX_EVENT_BYTES = std::size_t(1) << 20; // of one event, which is kept until it is complete
+constexpr std::size_t MAX_LOGGED_VALUE = 64;                  // bytes
+constexpr std::string_view CONTENT_TYPE = "Content-Type";
+constexpr std::string_view EVENT_STREAM = "text/event-stream";
+constexpr int NO_CONTENT = 204; // and 205: no body follows
+
+// Media type of an answer without its parameters; empty if it states none.
+std::string_view mediaType(const header_list &headers)
+{
+    const std::string_view text = headerValue(headers, CONTENT_TYPE);
+    const std::string_view type = text.substr(0, text.find(';'));
+    return type.substr(0, type.find_last_not_of(' ') + 1);
+}
+
+// False for a success that is certainly no stream of events.
+bool mayBeStream(const answer_head &head)
+{
+    const std::string_view type = mediaType(head.headers);
+    return head.status < NO_CONTENT && (type.empty() || sameHeader(type, EVENT_STREAM));
+}
+
+// True if the answer can continue a stream that began with this status and these headers.
+bool continuesStream(const answer_head &head, int status, const header_list &headers)
+{
+    return head.status == status && sameHeader(mediaType(head.headers), mediaType(headers));
+}
 
 }
 
@@ -43,6 +69,7 @@
     const scope_guard release([this] {
         dropSecond();
         endAttempt(m_current);
+        noteDuration();
     });
     const char *reason = nullptr;
     while (!m_abandoned) {
@@ -69,7 +96,6 @@
             break;
         }
     }
-        noteDuration();
     if (!m_abandoned) {
         co_await finishFailed(reason);
     }
@@ -174,6 +200,7 @@
         co_return opening_state::not_run;
     }
     header_list extra{{m_state.headerNames.path, m_state.port.encodePath(attempt.path)}};
+    attempt.continues = m_streamBegan;
     if (m_lastId) {
         extra.emplace_back(m_state.headerNames.lastEventId, std::to_string(*m_lastId));
     }
@@ -216,9 +243,16 @@
                 {{"request", m_facts.id}, {"server", attempt.first().server.text}, {"address", exchange.address()}, {"status", std::to_string(head.status)}});
         co_return noteBroken(attempt, exchange, exchange_status::broken);
     }
-    if (head.status < 200 || head.status >= 300) {
+    const bool succeeded = head.status >= 200 && head.status < 300;
+    if (!succeeded) {
         noteFailure(exchange.address(), failure_kind::error);
-        co_return opening_state::error_answer;
+        co_return opening_state::whole_answer;
+    }
+    if (attempt.continues && !continuesStream(head, m_outcome.status, m_headers)) {
+        co_return rejectContinuation(attempt, exchange, "other_head");
+    }
+    if (!attempt.continues && !mayBeStream(head)) {
+        co_return opening_state::whole_answer;
     }
     status = co_await exchange.readPiece(attempt.firstPiece, m_facts.deadline);
     if (status != exchange_status::ok) {
@@ -228,7 +262,47 @@
         attempt.load->noteTransferred();
     }
     attempt.lastData = std::chrono::steady_clock::now();
-    co_return opening_state::open;
+    co_return attempt.continues ? co_await readContinuation(attempt, exchange) : opening_state::open;
+}
+
+asio::awaitable<opening_state> generation_flow::readContinuation(stream_attempt &attempt, upstream_exchange &exchange)
+{
+    while (true) {
+        if (attempt.firstPiece.empty()) {
+            co_return rejectContinuation(attempt, exchange, "no_event");
+        }
+        attempt.firstEvents += attempt.splitter.feed(attempt.firstPiece);
+        if (const auto first = attempt.splitter.firstId()) {
+            co_return *first > m_lastId.value() ? opening_state::open : rejectContinuation(attempt, exchange, "known_event");
+        }
+        const std::size_t kept = attempt.firstEvents.size() + attempt.splitter.pendingBytes();
+        attempt.buffered.set(attempt.firstEvents.capacity() + attempt.splitter.pendingCapacity());
+        if (kept > MAX_EVENT_BYTES || attempt.buffered.exceeded()) {
+            co_return rejectContinuation(attempt, exchange, "too_long");
+        }
+        const exchange_status status = co_await exchange.readPiece(attempt.firstPiece, m_facts.deadline);
+        if (status != exchange_status::ok) {
+            co_return noteBroken(attempt, exchange, status);
+        }
+        attempt.lastData = std::chrono::steady_clock::now();
+    }
+}
+
+opening_state generation_flow::rejectContinuation(const stream_attempt &attempt, const upstream_exchange &exchange, const char *reason)
+{
+    m_state.counters.count("continuations_rejected", {{"reason", reason}});
+    const answer_head &head = exchange.head();
+    const auto first = attempt.splitter.firstId();
+    logLine(log_level::warning, "continuation_rejected",
+            {{"request", m_facts.id},
+             {"server", attempt.first().server.text},
+             {"address", exchange.address()},
+             {"reason", reason},
+             {"status", std::to_string(head.status)},
+             {"media_type", std::string(headerValue(head.headers, CONTENT_TYPE).substr(0, MAX_LOGGED_VALUE))},
+             {"last_id", std::to_string(m_lastId.value())},
+             {"first_id", first ? std::to_string(*first) : ""}});
+    return noteBroken(attempt, exchange, exchange_status::broken);
 }
 
 asio::awaitable<generation_flow::attempt_result> generation_flow::followAttempt(attempt_ptr attempt)
@@ -243,8 +317,8 @@
     switch (attempt->opening) {
     case opening_state::open:
         co_return co_await forwardStream(*attempt);
-    case opening_state::error_answer:
-        co_return co_await forwardErrorAnswer(*attempt);
+    case opening_state::whole_answer:
+        co_return co_await forwardWholeAnswer(*attempt);
     case opening_state::not_run:
         co_return attempt_result::not_run;
     case opening_state::pending:
@@ -278,7 +352,8 @@
     }
     std::string piece = std::move(attempt.firstPiece);
     while (!piece.empty()) {
-        const std::string events = attempt.splitter.feed(piece);
+        // The splitter knows the first piece of a continuation.
+        const std::string events = attempt.firstEvents.empty() ? attempt.splitter.feed(piece) : std::exchange(attempt.firstEvents, {});
         if (!events.empty() && !co_await forwardEvents(attempt, events)) {
             co_return attempt_result::client_gone;
         }
@@ -324,10 +399,11 @@
     co_return attempt_result::complete;
 }
 
-// Forwards an error answer of the server, unless the stream to the client has already begun or a second attempt is on its way.
-asio::awaitable<generation_flow::attempt_result> generation_flow::forwardErrorAnswer(stream_attempt &attempt)
+// Forwards an answer that is no stream, unless the stream to the client has already begun or a second attempt is on its way.
+asio::awaitable<generation_flow::attempt_result> generation_flow::forwardWholeAnswer(stream_attempt &attempt)
 {
     const std::shared_ptr<upstream_exchange> exchange = attempt.exchange;
+    const bool succeeded = exchange->head().status < 300;
     m_outcome.lastEnd = attempt_end::server_broke;
     if (m_streamBegan || m_second) {
         co_return attempt_result::broken;
@@ -341,16 +417,18 @@
         co_return attempt_result::broken;
     }
     m_outcome.lastEnd = attempt_end::answered;
-    m_outcome.reason = "server_failure";
+    m_outcome.reason = succeeded ? "answered" : "server_failure";
     co_await forwardAnswer(exchange->head(), body, exchange->address());
-    co_return attempt_result::error_forwarded;
+    co_return attempt_result::whole_forwarded;
 }
 
 asio::awaitable<bool> generation_flow::forwardEvents(stream_attempt &attempt, const std::string &events)
 {
     const steady_time now = std::chrono::steady_clock::now();
     attempt.blockedByClient = true;
-    m_lastId = attempt.splitter.lastId();
+    if (const auto id = attempt.splitter.lastId()) { // comment lines alone bear none
+        m_lastId = id;
+    }
     if (m_streamBegan) {
         m_outcome.longestGap = std::max(m_outcome.longestGap, std::chrono::duration_cast<milliseconds>(now - m_lastEvent));
     } else {
@@ -414,6 +492,16 @@
 // Helpers
 //-----------------------------------------------------------------------------
 
+// Also of streams that were moved, broken off or left by their clients: these are often the slow ones.
+void generation_flow::noteDuration()
+{
+    if (m_outcome.events == 0) {
+        return;
+    }
+    const auto rest = std::chrono::duration_cast<milliseconds>(m_lastEvent - m_facts.accepted) - m_outcome.firstByte;
+    m_state.streamTimeOf(m_facts.service).addSample(m_outcome.firstByte, rest, m_outcome.events);
+}
+
 void generation_flow::reportNoPath()
 {
     const steady_time now = std::chrono::steady_clock::now();
@@ -455,7 +543,8 @@
 
 bool generation_flow::mayResume() const
 {
-    return m_facts.matched->resumable && m_outcome.runs < m_facts.matched->maxAttempts;
+    const bool knowsWhere = !m_streamBegan || m_lastId.has_value();
+    return m_facts.matched->resumable && knowsWhere && m_outcome.runs < m_facts.matched->maxAttempts;
 }
 
 void generation_flow::noteRefusal(const answer_head &head, const std::string &address)
@@ -492,14 +581,4 @@
     return found == m_facts.config->services.end() || !found->second.engine || found->second.engine->layers <= 0 ? nullptr : &found->second;
 }
 
-// Also of streams that were moved, broken off or left by their clients: these are often the slow ones.
-void generation_flow::noteDuration()
-{
-    if (m_outcome.events == 0) {
-        return;
-    }
-    const auto rest = std::chrono::duration_cast<milliseconds>(m_lastEvent - m_facts.accepted) - m_outcome.firstByte;
-    m_state.streamTimeOf(m_facts.service).addSample(m_outcome.firstByte, rest, m_outcome.events);
-}
-
 }
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -32,7 +32,7 @@
     enum class attempt_result
     {
         complete,        // the client has received the whole answer
-        error_forwarded, // a server's error answer was forwarded to the client
+        whole_forwarded, // a server's answer that is no stream, such as an error, was forwarded to the client
         not_run,         // certainly not executed: another path may be tried
         broken,          // may be resumed on another path after the last complete event
         client_gone,     // the client closed its connection
@@ -50,6 +50,10 @@
     // `pending` if the request was sent.
     asio::awaitable<opening_state> sendRequest(stream_attempt &attempt, upstream_exchange &exchange);
     asio::awaitable<opening_state> readOpening(stream_attempt &attempt, upstream_exchange &exchange);
+    // For an attempt that continues a stream, after its first piece: reads until the first event that has an id.
+    asio::awaitable<opening_state> readContinuation(stream_attempt &attempt, upstream_exchange &exchange);
+    // Counts and logs why an answer does not continue the stream that the client has received a part of. Returns `broken`.
+    opening_state rejectContinuation(const stream_attempt &attempt, const upstream_exchange &exchange, const char *reason);
     // Waits until the attempt is open, and forwards its answer.
     asio::awaitable<attempt_result> followAttempt(attempt_ptr attempt);
     // Releases the attempt's servers.
@@ -65,7 +69,7 @@
 
     //-- Forwarding --
     asio::awaitable<attempt_result> forwardStream(stream_attempt &attempt);
-    asio::awaitable<attempt_result> forwardErrorAnswer(stream_attempt &attempt);
+    asio::awaitable<attempt_result> forwardWholeAnswer(stream_attempt &attempt);
     // Sends whole events to the client, after the head if it was not sent yet.
     asio::awaitable<bool> forwardEvents(stream_attempt &attempt, const std::string &events);
     // Notes that the server has ended the exchange, unless the gateway has. Returns `broken`.
@@ -117,13 +121,13 @@
     bool isLost(const path_stage &stage, steady_time now) const;
 
     //-- Helpers --
+    // Adds the stream, as far as it has come, to what is known about the duration of its service's streams.
+    void noteDuration();
     // Counts and logs why no path was found: layers that no server holds, servers that have just failed, or too little KV capacity.
     void reportNoPath();
     // True if a report that was due at that time may be missing because a thread of this process is late.
     bool isOwnDelay(steady_time due) const;
-    // Adds the stream, as far as it has come, to what is known about the duration of its service's streams.
-    void noteDuration();
-    // True if the route's streams can be resumed and the limit of attempts is not reached.
+    // True if the route's streams can be resumed, it is known after which event, and the limit of attempts is not reached.
     bool mayResume() const;
     // Avoids the server that a refusal names as the one at fault, which need not be the first one of the path.
     void noteRefusal(const answer_head &head, const std::string &address);
--- a/src/gateway/stream_attempt.h
+++ b/src/gateway/stream_attempt.h
@@ -16,7 +16,7 @@
 {
     pending,      // the request is being sent, or no byte of the body has arrived yet
     open,         // a success whose first piece was read, or that ended without one
-    error_answer, // an executed request that failed: the head was read
+    whole_answer, // an answer that is no stream, such as an error: the head was read
     not_run,      // certainly not executed
     broken,       // may have been executed; the exchange has ended
 };
@@ -61,8 +61,10 @@
     asio::steady_timer opened;     // cancelled when the opening ends
     asio::steady_timer stallTimer; // cancelled when the attempt ends
     std::string firstPiece;        // of the body, read while opening
+    std::string firstEvents;       // whole events, read while opening; only of an attempt that continues a stream
     event_splitter splitter;
     buffered_bytes buffered;                 // bytes of the events that are kept
+    bool continues = false;                  // the stream to the client had begun when the request was sent
     std::uint64_t eventsForwarded = 0;       // to the client
     server_process process;                  // of the first server
     std::unique_ptr<part_exposure> exposure; // null until the request is sent
