A request id that is not UTF-8 does not end the process

Cause: the order that moves the stream is JSON; encoding it threw in a task of the control thread, which nothing caught.

--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/event_loop.h"
 
+#include "kernel/log.h"
 #include "kernel/scope.h"
 
 #include <algorithm>
@@ -37,6 +38,16 @@
     }
 };
 
+// An exception ends the task that threw it, not the process, whose other work does not depend on it.
+void runLogged(const std::function<void()> &task)
+{
+    try {
+        task();
+    } catch (const std::exception &problem) {
+        logLine(log_level::error, "task_failed", {{"task", "posted"}, {"reason", problem.what()}});
+    }
+}
+
 struct transfer
 {
     transfer_id id = 0;            // key in m_transfers
@@ -473,7 +484,7 @@
         tasks.swap(m_tasks);
     }
     for (const auto &task : tasks) {
-        task();
+        runLogged(task);
     }
 }
 
--- a/tests/gateway_repath_test.cpp
+++ b/tests/gateway_repath_test.cpp
@@ -117,6 +117,36 @@
     CHECK(std::set<std::string>(paths.begin(), paths.end()).size() == paths.size());
 }
 
+// Guards against a process that ends since the order for such a stream cannot be encoded.
+TEST_CASE("a stream whose request id is not UTF-8 ends no other request when a stage of it is lost", "[failure]")
+{
+    scripted_server lost(answering("good"));
+    scripted_server spare(answerReports);
+    scripted_server plain(answering("good"));
+    scripted_server first([](raw_connection &out, const raw_request &in) {
+        if (in.target() != "/stream/") {
+            return answerReports(out, in);
+        }
+        out.write(streamHead(in) + events(0, 1));
+        out.waitForClose(3000);
+        return false;
+    });
+    deployment site;
+    site.addServer("i-1", "lm", first.address(), 0, 2);
+    site.addServer("i-2", "lm", lost.address(), 2, 4);
+    site.addServer("i-3", "app", lost.address());
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "id\xff\xfe"));
+    client.readUntil("piece1");
+    site.addServer("i-4", "lm", spare.address(), 2, 4);
+    lost.end();
+    CHECK(statusOf(exchange(site.front(), makeRequest("/once/", "id2"))) == 503); // shows that the stage is lost
+    CHECK_FALSE(eventually([&] { return site.gateways[0]->hasEnded(); }, milliseconds(1500)));
+    site.addServer("i-5", "app", plain.address());
+    CHECK(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/once/", "id3"))) == 200; }, milliseconds(3000)));
+}
+
 TEST_CASE("one server with the layers of two adjacent lost stages replaces both", "[failure]")
 {
     scripted_server lostOne(answerReports);
--- a/tests/kernel_test.cpp
+++ b/tests/kernel_test.cpp
@@ -145,3 +145,14 @@
     CHECK_THROWS_AS(decodeBase64("abc"), std::invalid_argument);
     CHECK(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
+
+// Guards against a malformed message that ends the process and with it the requests of all clients.
+TEST_CASE("a task that throws ends neither the loop nor the tasks behind it", "[unit]")
+{
+    event_loop loop("test");
+    std::promise<void> ran;
+    loop.post([] { throw std::runtime_error("failure of a test"); });
+    loop.post([&] { ran.set_value(); });
+    CHECK(ran.get_future().wait_for(std::chrono::seconds(10)) == std::future_status::ready);
+    loop.stop();
+}
