Idle connections to servers that have left are closed

Cause: the pool was pruned only when a connection to the same address was taken or given back. Why it works: twice a second the pool closes the connections that may not be used any more.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -238,7 +238,9 @@
     const steady_time now = std::chrono::steady_clock::now();
     m_state.pauses.noteRunning(now);
     m_signalBound.noteTick(now);
+    m_state.pool.closeExpired(now);
     measureDelays(now);
+    m_counters.set("server_connections_idle", static_cast<double>(m_state.pool.idleConnections()));
     m_counters.set("peers_live", m_state.peers.livePeers(now));
     const auto left = std::chrono::ceil<milliseconds>(m_state.drain.end - now);
     const milliseconds stopping = m_state.draining ? std::max(left, milliseconds(1)) : milliseconds(0);
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -148,6 +148,27 @@
     m_idle.erase(address);
 }
 
+void upstream_pool::closeExpired(steady_time now)
+{
+    if (now - m_expiryChecked < EXPIRY_INTERVAL) {
+        return;
+    }
+    m_expiryChecked = now;
+    for (auto &[address, idle] : m_idle) {
+        std::erase_if(idle, [now](const auto &one) { return one->reusableUntil <= now; });
+    }
+    std::erase_if(m_idle, [](const auto &entry) { return entry.second.empty(); });
+}
+
+std::size_t upstream_pool::idleConnections() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, idle] : m_idle) {
+        count += idle.size();
+    }
+    return count;
+}
+
 //-----------------------------------------------------------------------------
 // Exchange
 //-----------------------------------------------------------------------------
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -72,6 +72,11 @@
     void giveBack(const std::string &address, std::unique_ptr<upstream_connection> connection);
     // Closes the idle connections of a server that may no longer know them, for example after a restart.
     void dropIdle(const std::string &address);
+    // Closes the idle connections that their servers may close from now on, also those of servers that have left. To be called
+    // periodically; looks at them once per EXPIRY_INTERVAL.
+    void closeExpired(steady_time now);
+    // Number of idle connections to all servers.
+    std::size_t idleConnections() const;
     asio::io_context &context()
     {
         return m_context;
@@ -83,8 +88,11 @@
     }
 
 private:
+    static constexpr milliseconds EXPIRY_INTERVAL{500};
+
     asio::io_context &m_context;
     buffer_quota &m_buffers;
+    steady_time m_expiryChecked{};
     std::unordered_map<std::string, std::deque<std::unique_ptr<upstream_connection>>> m_idle;
 };
 
--- a/tests/gateway_connection_test.cpp
+++ b/tests/gateway_connection_test.cpp
@@ -470,3 +470,31 @@
     CHECK(statusOf(got) == 200);
     CHECK(server.received() > longBody.size());
 }
+
+// Guards against descriptors that are never freed, until no client is accepted any more.
+TEST_CASE("idle connections to a server that has left are closed", "[failure]")
+{
+    constexpr int CLIENTS = 8;
+    std::atomic<int> closed = 0;
+    std::atomic<int> waiting = 0;
+    scripted_server server([&](raw_connection &out, const raw_request &in) {
+        ++waiting;
+        eventually([&] { return waiting >= CLIENTS; }); // so that each request has a connection of its own
+        out.write(answer(in, "hello", "Keep-Alive: timeout=2\r\n"));
+        closed += out.waitForClose(6000) ? 1 : 0;
+        return false;
+    });
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.start();
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (int number = 0; number < CLIENTS; ++number) {
+        clients.push_back(std::make_unique<raw_client>(site.front()));
+        clients.back()->write(makeRequest("/safe/", "id" + std::to_string(number)));
+    }
+    for (const auto &client : clients) {
+        CHECK(statusOf(client->readUntil("hello")) == 200);
+    }
+    site.addServer("i-1", "app", server.address(), 0, 0, "draining");
+    CHECK(eventually([&] { return closed == CLIENTS; }, milliseconds(5000)));
+}
