The stand-in's answers bear the epoch of their content

What was seen: "several restores in a row lose no change" failed once in a run of the whole group; content from before a restore bore the epoch after it, which no real store sends. Cause: the header was added when the answer was sent, not when its content was read.

--- a/tests/gateway_stop_test.cpp
+++ b/tests/gateway_stop_test.cpp
@@ -12,9 +12,9 @@
 namespace
 {
 
-constexpr milliseconds LATE{3200};       // after SIGTERM: the load balancer sends no new clients any more
-constexpr milliseconds EVENT_GAP{150};   // of the slow server
-constexpr int SLOW_LAST_EVENT = 59;      // 9 s, longer than the grace period
+constexpr milliseconds LATE{3200};     // after SIGTERM: the load balancer sends no new clients any more
+constexpr milliseconds EVENT_GAP{150}; // of the slow server
+constexpr int SLOW_LAST_EVENT = 59;    // 9 s, longer than the grace period
 constexpr int SHORT_LAST_EVENT = 5;
 constexpr int STREAM_LIMIT_MS = 9000;
 
--- a/tests/gateway_store_restore_test.cpp
+++ b/tests/gateway_store_restore_test.cpp
@@ -4,6 +4,7 @@
 #include "gateway_deployment.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -189,3 +190,25 @@
     site.store.restore();
     CHECK(eventually([&] { return entries() >= kept + 2; }, TAKEOVER_LIMIT));
 }
+
+// Guards against content from before a restore that bears the epoch after it, which made tests of the followers fail now and then.
+TEST_CASE("the stand-in's answer bears the epoch of its content although it is sent after a restore", "[failure]")
+{
+    constexpr double READ_RATE = 4000; // bytes per second
+    platform::store_standin store;
+    store.setEpochHeader({"7"});
+    store.put("keyed.op", "config", std::string(1500, 'x'));
+    store.setReadRate(READ_RATE);
+    http_request read;
+    read.url = store.url() + "/log-newest?Topic=keyed.op&part=0";
+    read.reportedHeader = "Store-Era";
+    std::thread restoring([&] {
+        pause(milliseconds(200));
+        store.restore();
+    });
+    const http_result result = requestAll({read}).front();
+    restoring.join();
+    REQUIRE(result.ok());
+    CHECK(result.body.size() > 1500);
+    CHECK(result.reportedValues == std::vector<std::string>{"7"});
+}
