--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -1,7 +1,6 @@
 #include "gateway/generation_flow.h"
 
 #include "gateway/completion.h"
-#include "gateway/headers.h"
 #include "gateway/spawn.h"
 #include "kernel/scope.h"
 
@@ -10,8 +9,8 @@
 #include <algorithm>
 #include <utility>
 
-// Sections: attempts, forwarding, helpers. Second attempts are in generation_second.cpp, stalls in generation_stalls.cpp, servers that end
-// under a request in generation_parts.cpp.
+// Sections: attempts, forwarding, helpers. The opening of an attempt is in generation_opening.cpp, second attempts are in generation_second.cpp, stalls in
+// generation_stalls.cpp, servers that end under a request in generation_parts.cpp.
 
 namespace chestnut
 {
@@ -19,39 +18,11 @@
 namespace
 {
 
-constexpr milliseconds CONNECT_TIMEOUT{150};   // a server in the same region answers in a few ms
 constexpr milliseconds BUSY_RETRY{1200};       // Retry-After if servers refused: the mean answer time, after which a slot should be free
 constexpr milliseconds NO_PATH_RETRY{900};     // Retry-After without a path: by then a lost stage is replaced or has recovered
 constexpr milliseconds LIVENESS_INTERVAL{100}; // between two updates that the path's servers are alive
 constexpr milliseconds PATH_POLL_INTERVAL{60}; // between searches for a path for a stream that has begun
 constexpr int MAX_CLIENT_PAUSES = 8;           // a client is expected to disconnect after this many times the route's longest acceptable pause
-constexpr std::size_t MAX_ERROR_BODY_BYTES = std::size_t(1) << 20;
-constexpr std::size_t MAX_EVENT_BYTES = std::size_t(1) << 20; // of one event, which is kept until it is complete
-constexpr std::size_t MAX_LOGGED_VALUE = 64;                  // bytes
-constexpr std::string_view CONTENT_TYPE = "Content-Type";
-constexpr std::string_view EVENT_STREAM = "text/event-stream";
-constexpr int NO_CONTENT = 204; // and 205: no body follows
-
-// Media type of an answer without its parameters; empty if it states none.
-std::string_view mediaType(const header_list &headers)
-{
-    const std::string_view text = headerValue(headers, CONTENT_TYPE);
-    const std::string_view type = text.substr(0, text.find(';'));
-    return type.substr(0, type.find_last_not_of(' ') + 1);
-}
-
-// False for a success that is certainly no stream of events.
-bool mayBeStream(const answer_head &head)
-{
-    const std::string_view type = mediaType(head.headers);
-    return head.status < NO_CONTENT && (type.empty() || sameHeader(type, EVENT_STREAM));
-}
-
-// True if the answer can continue a stream that began with this status and these headers.
-bool continuesStream(const answer_head &head, int status, const header_list &headers)
-{
-    return head.status == status && sameHeader(mediaType(head.headers), mediaType(headers));
-}
 
 }
 
@@ -159,152 +130,6 @@
     return attempt;
 }
 
-asio::awaitable<void> generation_flow::openAttempt(std::shared_ptr<generation_flow>, attempt_ptr attempt, std::shared_ptr<upstream_exchange> exchange)
-{
-    if (attempt->ended) { // before this coroutine began
-        co_return;
-    }
-    const scope_guard settle([attempt] { // after an exception
-        if (attempt->opening == opening_state::pending) {
-            attempt->setOpening(opening_state::broken);
-        }
-    });
-    opening_state state = co_await sendRequest(*attempt, *exchange);
-    if (state == opening_state::pending) {
-        state = co_await readOpening(*attempt, *exchange);
-    }
-    attempt->setOpening(state);
-    if (attempt->ended || m_abandoned) {
-        co_return;
-    }
-    if (attempt == m_second) {
-        settleSecond();
-    } else if (state == opening_state::open && !attempt->replaced) {
-        dropSecond();
-    }
-}
-
-asio::awaitable<opening_state> generation_flow::sendRequest(stream_attempt &attempt, upstream_exchange &exchange)
-{
-    const path_stage first = attempt.first();
-    const steady_time start = std::chrono::steady_clock::now();
-    // An idle connection may be about to be closed by the server, which must not cost the only or the last attempt.
-    const bool fresh = !m_facts.matched->resumable || m_outcome.runs > 0;
-    exchange_status status = co_await exchange.connect(fresh, std::min<steady_time>(m_facts.deadline, start + CONNECT_TIMEOUT));
-    if (attempt.ended || !clientWaits()) {
-        co_return opening_state::not_run;
-    }
-    if (status != exchange_status::ok) {
-        m_outcome.lastEnd = attempt_end::not_connected;
-        avoid(first.address, failure_kind::unreachable);
-        co_return opening_state::not_run;
-    }
-    header_list extra{{m_state.headerNames.path, m_state.port.encodePath(attempt.path)}};
-    attempt.continues = m_streamBegan;
-    if (m_lastId) {
-        extra.emplace_back(m_state.headerNames.lastEventId, std::to_string(*m_lastId));
-    }
-    listed_server target;
-    target.id = first.server;
-    const std::string bytes = encodeRequest(target, extra, start);
-    ++m_outcome.runs; // taken back if the server refuses
-    attempt.lastData = std::chrono::steady_clock::now();
-    attempt.sent = attempt.lastData;
-    attempt.process = m_state.processOf(first.server);
-    attempt.exposure = std::make_unique<part_exposure>(m_state.quarantine, m_facts.parts);
-    spawnLogged(m_state.context, "stall_monitor", monitorStalls(shared_from_this(), attempt.shared_from_this()));
-    status = co_await exchange.send(bytes, m_facts.deadline);
-    co_return status == exchange_status::ok ? opening_state::pending : noteBroken(attempt, exchange, status);
-}
-
-asio::awaitable<opening_state> generation_flow::readOpening(stream_attempt &attempt, upstream_exchange &exchange)
-{
-    exchange_status status = co_await exchange.readHead(m_state.headerNames.requestId, m_facts.deadline);
-    if (status != exchange_status::ok) {
-        co_return noteBroken(attempt, exchange, status);
-    }
-    const answer_head &head = exchange.head();
-    attempt.headRead = true;
-    attempt.lastData = std::chrono::steady_clock::now();
-    attempt.firstData = attempt.lastData;
-    attempt.exposure->noteData(attempt.lastData);
-    noteLoad(head, exchange.address());
-    noteQuietPeriod(head, exchange.address());
-    noteLeaving(head, exchange.address());
-    if (saysNotRun(head)) {
-        --m_outcome.runs;
-        exchange.noteRefused();
-        noteRefusal(head, exchange.address());
-        co_await exchange.skipBody(MAX_ERROR_BODY_BYTES, std::chrono::steady_clock::now() + CONNECT_TIMEOUT); // so that the connection can be reused
-        co_return opening_state::not_run;
-    }
-    if (isUnusable(head)) {
-        logLine(log_level::info, "answer_unusable",
-                {{"request", m_facts.id}, {"server", attempt.first().server.text}, {"address", exchange.address()}, {"status", std::to_string(head.status)}});
-        co_return noteBroken(attempt, exchange, exchange_status::broken);
-    }
-    const bool succeeded = head.status >= 200 && head.status < 300;
-    if (!succeeded) {
-        noteFailure(exchange.address(), failure_kind::error);
-        co_return opening_state::whole_answer;
-    }
-    if (attempt.continues && !continuesStream(head, m_outcome.status, m_headers)) {
-        co_return rejectContinuation(attempt, exchange, "other_head");
-    }
-    if (!attempt.continues && !mayBeStream(head)) {
-        co_return opening_state::whole_answer;
-    }
-    status = co_await exchange.readPiece(attempt.firstPiece, m_facts.deadline);
-    if (status != exchange_status::ok) {
-        co_return noteBroken(attempt, exchange, status);
-    }
-    if (attempt.load) {
-        attempt.load->noteTransferred();
-    }
-    attempt.lastData = std::chrono::steady_clock::now();
-    co_return attempt.continues ? co_await readContinuation(attempt, exchange) : opening_state::open;
-}
-
-asio::awaitable<opening_state> generation_flow::readContinuation(stream_attempt &attempt, upstream_exchange &exchange)
-{
-    while (true) {
-        if (attempt.firstPiece.empty()) {
-            co_return rejectContinuation(attempt, exchange, "no_event");
-        }
-        attempt.firstEvents += attempt.splitter.feed(attempt.firstPiece);
-        if (const auto first = attempt.splitter.firstId()) {
-            co_return *first > m_lastId.value() ? opening_state::open : rejectContinuation(attempt, exchange, "known_event");
-        }
-        const std::size_t kept = attempt.firstEvents.size() + attempt.splitter.pendingBytes();
-        attempt.buffered.set(attempt.firstEvents.capacity() + attempt.splitter.pendingCapacity());
-        if (kept > MAX_EVENT_BYTES || attempt.buffered.exceeded()) {
-            co_return rejectContinuation(attempt, exchange, "too_long");
-        }
-        const exchange_status status = co_await exchange.readPiece(attempt.firstPiece, m_facts.deadline);
-        if (status != exchange_status::ok) {
-            co_return noteBroken(attempt, exchange, status);
-        }
-        attempt.lastData = std::chrono::steady_clock::now();
-    }
-}
-
-opening_state generation_flow::rejectContinuation(const stream_attempt &attempt, const upstream_exchange &exchange, const char *reason)
-{
-    m_state.counters.count("continuations_rejected", {{"reason", reason}});
-    const answer_head &head = exchange.head();
-    const auto first = attempt.splitter.firstId();
-    logLine(log_level::warning, "continuation_rejected",
-            {{"request", m_facts.id},
-             {"server", attempt.first().server.text},
-             {"address", exchange.address()},
-             {"reason", reason},
-             {"status", std::to_string(head.status)},
-             {"media_type", std::string(headerValue(head.headers, CONTENT_TYPE).substr(0, MAX_LOGGED_VALUE))},
-             {"last_id", std::to_string(m_lastId.value())},
-             {"first_id", first ? std::to_string(*first) : ""}});
-    return noteBroken(attempt, exchange, exchange_status::broken);
-}
-
 asio::awaitable<generation_flow::attempt_result> generation_flow::followAttempt(attempt_ptr attempt)
 {
     co_await attempt->waitUntilOpened();
@@ -409,7 +234,7 @@
         co_return attempt_result::broken;
     }
     std::string body;
-    const exchange_status status = co_await exchange->readBody(body, MAX_ERROR_BODY_BYTES, m_facts.deadline);
+    const exchange_status status = co_await exchange->readBody(body, MAX_WHOLE_BYTES, m_facts.deadline);
     if (m_abandoned) {
         co_return attempt_result::client_gone;
     }
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -25,8 +25,10 @@
 private:
     using attempt_ptr = std::shared_ptr<stream_attempt>;
 
-    static constexpr milliseconds MIN_ATTEMPT_TIME{200}; // no attempt is started with less time left
-    static constexpr int MAX_PATHS_TRIED = 6;            // paths tried per request
+    static constexpr milliseconds MIN_ATTEMPT_TIME{200};                 // no attempt is started with less time left
+    static constexpr int MAX_PATHS_TRIED = 6;                            // paths tried per request
+    static constexpr std::size_t MAX_WHOLE_BYTES = std::size_t(1) << 20; // of the body of an answer that is no stream
+    static constexpr std::size_t MAX_EVENT_BYTES = std::size_t(1) << 20; // of one event, which is kept until it is complete
 
     // How an attempt to run the generation on a path ended.
     enum class attempt_result
