A stopping gateway exits without running destructors

No caller noticed: its log says stopped after 4.6 s. Cause: the destructors of the mesh wait for calls to peers, and for those of the control thread, with no bound within the grace period. Why it works: nothing needs saving, so the process exits at once, as chestnutgw-entry does.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <charconv>
+#include <cstdlib>
 #include <set>
 
 namespace
@@ -78,8 +79,6 @@
         reportDropped();
         reportLoad();
         m_context.run();
-        m_mesh.reset();
-        m_control.stop();
     }
 
 private:
@@ -370,7 +369,8 @@
     logLine(log_level::info, "start", {{"instance", settings.name}, {"domain", settings.failureDomain}, {"front", settings.frontAddress}});
     gateway_process process(settings);
     process.run();
-    return 0;
+    // Destructors are skipped: no state needs saving, and the end of the calls to peers may take longer than the grace period leaves.
+    std::_Exit(0);
 }
 
 }
