--- a/tests/gateway_continuation_test.cpp
+++ b/tests/gateway_continuation_test.cpp
@@ -3,12 +3,10 @@
 #include "gateway_deployment.h"
 
 #include <catch2/catch.hpp>
-#include <nlohmann/json.hpp>
 #include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
-using nlohmann::json;
 
 namespace
 {
@@ -74,21 +72,58 @@
     };
 }
 
-json routeWithAttempts(int attempts)
+// A deployment whose engine servers all run the same script.
+struct stream_site
 {
-    return {{"Routes",
-             {{{"Name", "stream"},
-               {"Hostname", "h.example"},
-               {"PathPrefix", "/stream/"},
-               {"RouteType", "streaming"},
-               {"TimeoutMs", 8000},
-               {"LatencyGoalMs", 500},
-               {"GapAimMs", 200},
-               {"Service", "lm"},
-               {"MaxAttempts", attempts},
-               {"Affinity", true},
-               {"StreamResume", true}}}}};
-}
+    stream_site(const server_script &script, int count)
+    {
+        for (int number = 1; number <= count; ++number) {
+            servers.push_back(std::make_unique<scripted_server>(script));
+            site.addServer("i-" + std::to_string(number), "lm", servers.back()->address(), 0, 4);
+        }
+        site.start();
+    }
+
+    // Lets each stream be sent to so many servers.
+    void allowAttempts(int attempts)
+    {
+        site.publish(2,
+                     {{"Routes",
+                       {{{"Name", "stream"},
+                         {"Hostname", "h.example"},
+                         {"PathPrefix", "/stream/"},
+                         {"RouteType", "streaming"},
+                         {"TimeoutMs", 8000},
+                         {"LatencyGoalMs", 500},
+                         {"GapAimMs", 200},
+                         {"Service", "lm"},
+                         {"MaxAttempts", attempts},
+                         {"Affinity", true},
+                         {"StreamResume", true}}}}});
+        REQUIRE(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/once/", "probe"))) == 404; }));
+    }
+
+    // Sends a stream request; reads its answer up to `until`, or what comes of it in time.
+    std::string stream(const std::string &until = "\r\n" + LAST_CHUNK)
+    {
+        raw_client client(site.front());
+        client.write(makeRequest("/stream/", "id1"));
+        return client.readUntil(until, READ_LIMIT_MS);
+    }
+
+    // Requests that reached a server.
+    int count() const
+    {
+        int sum = 0;
+        for (const auto &server : servers) {
+            sum += server->count();
+        }
+        return sum;
+    }
+
+    std::vector<std::unique_ptr<scripted_server>> servers;
+    deployment site;
+};
 
 }
 
@@ -98,59 +133,37 @@
     const std::size_t form = GENERATE(range(std::size_t(0), WRONG_ANSWERS.size()));
     const second_answer &wrong = WRONG_ANSWERS[form];
     CAPTURE(wrong.name);
-    const server_script script = [&](raw_connection &out, const raw_request &in) { return breakingOff(headOf(wrong, in) + wrong.rest)(out, in); };
-    scripted_server first(script);
-    scripted_server second(script);
-    deployment site;
-    site.addServer("i-1", "lm", first.address(), 0, 4);
-    site.addServer("i-2", "lm", second.address(), 0, 4);
-    site.start();
-    raw_client client(site.front());
-    client.write(makeRequest("/stream/", "id1"));
-    const std::string got = client.readUntil("\x01never", READ_LIMIT_MS);
+    stream_site deployed([&](raw_connection &out, const raw_request &in) { return breakingOff(headOf(wrong, in) + wrong.rest)(out, in); }, 2);
+    const std::string got = deployed.stream("\x01never");
     CHECK(statusOf(got) == 200);
     CHECK(got.find("piece1") != std::string::npos);
     CHECK(got.find("wrong") == std::string::npos);
     CHECK_FALSE(got.ends_with("\r\n" + LAST_CHUNK));
-    CHECK(first.count() + second.count() == 2);
+    CHECK(deployed.count() == 2);
 }
 
 TEST_CASE("a stream goes on behind comment lines of the server that continues it", "[failure]")
 {
-    const server_script script = [](raw_connection &out, const raw_request &in) {
-        return breakingOff(streamHead(in) + chunk(": hello\n\n: he") + chunk("llo\n\n") + events(2, LAST_EVENT) + LAST_CHUNK)(out, in);
-    };
-    scripted_server first(script);
-    scripted_server second(script);
-    deployment site;
-    site.addServer("i-1", "lm", first.address(), 0, 4);
-    site.addServer("i-2", "lm", second.address(), 0, 4);
-    site.start();
-    raw_client client(site.front());
-    client.write(makeRequest("/stream/", "id1"));
-    CHECK(isWholeStream(client.readUntil("\r\n" + LAST_CHUNK, READ_LIMIT_MS), LAST_EVENT));
+    stream_site deployed(
+        [](raw_connection &out, const raw_request &in) {
+            return breakingOff(streamHead(in) + chunk(": hello\n\n: he") + chunk("llo\n\n") + events(2, LAST_EVENT) + LAST_CHUNK)(out, in);
+        },
+        2);
+    CHECK(isWholeStream(deployed.stream(), LAST_EVENT));
 }
 
 TEST_CASE("after an answer that does not continue a stream, a further server continues it", "[failure]")
 {
     std::atomic<int> resumed = 0;
-    const server_script script = [&](raw_connection &out, const raw_request &in) {
-        const bool wrong = !in.header("Last-Event-Id").empty() && resumed++ == 0;
-        const std::string rest = wrong ? events(0, LAST_EVENT) : events(2, LAST_EVENT);
-        return breakingOff(streamHead(in) + rest + LAST_CHUNK)(out, in);
-    };
-    std::vector<std::unique_ptr<scripted_server>> servers;
-    deployment site;
-    for (int number = 1; number <= 3; ++number) {
-        servers.push_back(std::make_unique<scripted_server>(script));
-        site.addServer("i-" + std::to_string(number), "lm", servers.back()->address(), 0, 4);
-    }
-    site.start();
-    site.publish(2, routeWithAttempts(3));
-    REQUIRE(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/once/", "probe"))) == 404; }));
-    raw_client client(site.front());
-    client.write(makeRequest("/stream/", "id1"));
-    CHECK(isWholeStream(client.readUntil("\r\n" + LAST_CHUNK, READ_LIMIT_MS), LAST_EVENT));
+    stream_site deployed(
+        [&](raw_connection &out, const raw_request &in) {
+            const bool wrong = !in.header("Last-Event-Id").empty() && resumed++ == 0;
+            const std::string rest = wrong ? events(0, LAST_EVENT) : events(2, LAST_EVENT);
+            return breakingOff(streamHead(in) + rest + LAST_CHUNK)(out, in);
+        },
+        3);
+    deployed.allowAttempts(3);
+    CHECK(isWholeStream(deployed.stream(), LAST_EVENT));
     CHECK(resumed == 2);
 }
 
@@ -158,31 +171,25 @@
 TEST_CASE("a second attempt that begins anew does not replace a stream that goes on", "[failure]")
 {
     std::atomic<bool> answered = false;
-    const server_script script = [&](raw_connection &out, const raw_request &in) {
-        if (in.target() == "/report") { // not answered: the server counts as silent
-            out.waitForClose(READ_LIMIT_MS);
-            return false;
-        }
-        if (!in.header("Last-Event-Id").empty()) {
-            out.write(streamHead(in) + events(0, LAST_EVENT) + LAST_CHUNK);
-            answered = true;
+    stream_site deployed(
+        [&](raw_connection &out, const raw_request &in) {
+            if (in.target() == "/report") { // not answered: the server counts as silent
+                out.waitForClose(READ_LIMIT_MS);
+                return false;
+            }
+            if (!in.header("Last-Event-Id").empty()) {
+                out.write(streamHead(in) + events(0, LAST_EVENT) + LAST_CHUNK);
+                answered = true;
+                return true;
+            }
+            out.write(streamHead(in) + events(0, 1));
+            eventually([&] { return answered.load(); });
+            std::this_thread::sleep_for(milliseconds(300));
+            out.write(events(2, LAST_EVENT) + LAST_CHUNK);
             return true;
-        }
-        out.write(streamHead(in) + events(0, 1));
-        eventually([&] { return answered.load(); });
-        std::this_thread::sleep_for(milliseconds(300));
-        out.write(events(2, LAST_EVENT) + LAST_CHUNK);
-        return true;
-    };
-    scripted_server first(script);
-    scripted_server second(script);
-    deployment site;
-    site.addServer("i-1", "lm", first.address(), 0, 4);
-    site.addServer("i-2", "lm", second.address(), 0, 4);
-    site.start();
-    raw_client client(site.front());
-    client.write(makeRequest("/stream/", "id1"));
-    const std::string got = client.readUntil("\r\n" + LAST_CHUNK, READ_LIMIT_MS);
+        },
+        2);
+    const std::string got = deployed.stream();
     CAPTURE(got);
     CHECK(isWholeStream(got, LAST_EVENT));
 }
@@ -191,52 +198,43 @@
 TEST_CASE("a success that is no stream reaches the client as the server sent it", "[failure]")
 {
     const bool empty = GENERATE(true, false);
-    scripted_server server([&](raw_connection &out, const raw_request &in) {
-        if (in.target() == "/report") {
-            out.write(report(in));
+    stream_site deployed(
+        [&](raw_connection &out, const raw_request &in) {
+            if (in.target() == "/report") {
+                out.write(report(in));
+                return true;
+            }
+            const second_answer plain{"", empty ? "204 No Content" : "200 OK", empty ? "" : "text/plain", ""};
+            out.write(headOf(plain, in) + (empty ? "\r\n" : withLength("one\n\ntwo")));
             return true;
-        }
-        const second_answer plain{"", empty ? "204 No Content" : "200 OK", empty ? "" : "text/plain", ""};
-        out.write(headOf(plain, in) + (empty ? "\r\n" : withLength("one\n\ntwo")));
-        return true;
-    });
-    deployment site;
-    site.addServer("i-1", "lm", server.address(), 0, 4);
-    site.start();
-    const std::string got = exchange(site.front(), makeRequest("/stream/", "id1"));
+        },
+        1);
+    const std::string got = exchange(deployed.site.front(), makeRequest("/stream/", "id1"));
     CHECK(statusOf(got) == (empty ? 204 : 200));
     CHECK(got.find("Transfer-Encoding") == std::string::npos);
     CHECK(got.find(SIGNATURE) != std::string::npos);
     CHECK(got.ends_with(empty ? "\r\n\r\n" : "\r\n\r\none\n\ntwo"));
-    CHECK(server.count() == 1);
+    CHECK(deployed.count() == 1);
 }
 
 // Guards against a stream that begins anew since the last attempt's answer had only comment lines.
 TEST_CASE("a stream that is resumed twice with a comment line between goes on after its last event", "[failure]")
 {
     std::atomic<int> resumed = 0;
-    const server_script script = [&](raw_connection &out, const raw_request &in) {
-        if (in.header("Last-Event-Id").empty() || in.target() == "/report") {
-            return breakingOff("")(out, in);
-        }
-        if (resumed++ == 0) {
-            out.write(streamHead(in) + chunk(": working\n\n"));
-            std::this_thread::sleep_for(milliseconds(100));
-            return false;
-        }
-        return streaming(LAST_EVENT)(out, in);
-    };
-    std::vector<std::unique_ptr<scripted_server>> servers;
-    deployment site;
-    for (int number = 1; number <= 3; ++number) {
-        servers.push_back(std::make_unique<scripted_server>(script));
-        site.addServer("i-" + std::to_string(number), "lm", servers.back()->address(), 0, 4);
-    }
-    site.start();
-    site.publish(2, routeWithAttempts(3));
-    REQUIRE(eventually([&] { return statusOf(exchange(site.front(), makeRequest("/once/", "probe"))) == 404; }));
-    raw_client client(site.front());
-    client.write(makeRequest("/stream/", "id1"));
-    CHECK(isWholeStream(client.readUntil("\r\n" + LAST_CHUNK, READ_LIMIT_MS), LAST_EVENT));
+    stream_site deployed(
+        [&](raw_connection &out, const raw_request &in) {
+            if (in.header("Last-Event-Id").empty() || in.target() == "/report") {
+                return breakingOff("")(out, in);
+            }
+            if (resumed++ == 0) {
+                out.write(streamHead(in) + chunk(": working\n\n"));
+                std::this_thread::sleep_for(milliseconds(100));
+                return false;
+            }
+            return streaming(LAST_EVENT)(out, in);
+        },
+        3);
+    deployed.allowAttempts(3);
+    CHECK(isWholeStream(deployed.stream(), LAST_EVENT));
     CHECK(resumed == 2);
 }
--- a/tests/gateway_stop_test.cpp
+++ b/tests/gateway_stop_test.cpp
@@ -32,19 +32,10 @@
     return true;
 }
 
-std::string withDeadline(std::string request, int ms)
+// Script of a server whose streams wait for `go` after event 1; those whose request id begins with "slow" are sent slowly.
+server_script held(std::atomic<bool> &go)
 {
-    const std::string usual = "X-Chestnutgw-Deadline-Ms: 6000";
-    return request.replace(request.find(usual), usual.size(), "X-Chestnutgw-Deadline-Ms: " + std::to_string(ms));
-}
-
-}
-
-// Guards against streams that are accepted late in a stop because others were fast, and are cut when the process ends.
-TEST_CASE("a stream that arrives late in a stop is rejected unless its deadline lies before the end", "[failure]")
-{
-    std::atomic<bool> go = false;
-    scripted_server server([&](raw_connection &out, const raw_request &in) {
+    return [&go](raw_connection &out, const raw_request &in) {
         if (in.target() == "/report") {
             out.write(report(in));
             return true;
@@ -56,7 +47,22 @@
         eventually([&] { return go.load(); });
         out.write(events(2, SHORT_LAST_EVENT) + "0\r\n\r\n");
         return true;
-    });
+    };
+}
+
+std::string withDeadline(std::string request, int ms)
+{
+    const std::string usual = "X-Chestnutgw-Deadline-Ms: 6000";
+    return request.replace(request.find(usual), usual.size(), "X-Chestnutgw-Deadline-Ms: " + std::to_string(ms));
+}
+
+}
+
+// Guards against streams that are accepted late in a stop because others were fast, and are cut when the process ends.
+TEST_CASE("a stream that arrives late in a stop is rejected unless its deadline lies before the end", "[failure]")
+{
+    std::atomic<bool> go = false;
+    scripted_server server(held(go));
     deployment site;
     site.addServer("i-1", "lm", server.address(), 0, 4);
     site.start();
@@ -79,16 +85,7 @@
 TEST_CASE("a stream that arrives late in a stop is answered if its deadline lies before the end", "[failure]")
 {
     std::atomic<bool> go = false;
-    scripted_server server([&](raw_connection &out, const raw_request &in) {
-        if (in.target() == "/report") {
-            out.write(report(in));
-            return true;
-        }
-        out.write(streamHead(in) + events(0, 1));
-        eventually([&] { return go.load(); });
-        out.write(events(2, SHORT_LAST_EVENT) + "0\r\n\r\n");
-        return true;
-    });
+    scripted_server server(held(go));
     deployment site;
     site.addServer("i-1", "lm", server.address(), 0, 4);
     site.start();
--- a/tests/soak/timeline.cpp
+++ b/tests/soak/timeline.cpp
@@ -28,6 +28,7 @@
         , m_partRandom(static_cast<std::uint64_t>(options.seed), 1)
         , m_linkRandom(static_cast<std::uint64_t>(options.seed), 2)
         , m_answerRandom(static_cast<std::uint64_t>(options.seed), 3)
+        , m_stopRandom(static_cast<std::uint64_t>(options.seed), 4)
         , m_end(milliseconds(options.seconds * 1000) - QUIET_END)
     {
     }
@@ -42,6 +43,7 @@
         drawCrashingPart();
         drawLinkFaults();
         drawAnswers();
+        drawStopDuringFreeze();
         std::stable_sort(m_drawn.events.begin(), m_drawn.events.end(), [](const event &left, const event &right) { return left.at < right.at; });
         return m_drawn;
     }
@@ -184,6 +186,31 @@
         }
     }
 
+    // A stop that begins while the process stands still, on two of three days; from a generator of its own, too.
+    void drawStopDuringFreeze()
+    {
+        const bool drawn = m_stopRandom(3) != 0;
+        const auto target = static_cast<int>(m_stopRandom(static_cast<std::uint32_t>(m_drawn.gateways)));
+        const milliseconds at = QUIET_START + milliseconds(m_stopRandom(1000));
+        const milliseconds length(700 + m_stopRandom(1000));
+        const milliseconds stop = at + milliseconds(100 + m_stopRandom(300));
+        const milliseconds absence(200 + m_stopRandom(1200));
+        if (!drawn || endsNear(target, at)) {
+            return;
+        }
+        m_drawn.events.push_back({at, action::freeze, target, length, 0, milliseconds(0)});
+        m_drawn.events.push_back({stop, action::terminate, target, absence, 0, milliseconds(0)});
+    }
+
+    // True if another event that ends or stops the gateway comes at about that time.
+    bool endsNear(int gateway, milliseconds at) const
+    {
+        return std::any_of(m_drawn.events.begin(), m_drawn.events.end(), [&](const event &one) {
+            const bool ends = one.what == action::terminate || one.what == action::freeze || one.what == action::kill;
+            return ends && one.target == gateway && one.at < at + GATEWAY_ABSENCE && at < one.at + GATEWAY_ABSENCE;
+        });
+    }
+
     void add(milliseconds at, config_change what)
     {
         m_drawn.events.push_back({at, action::reconfigure, 0, milliseconds(0), static_cast<int>(what), milliseconds(0)});
@@ -248,6 +275,7 @@
     pcg32 m_partRandom;
     pcg32 m_linkRandom;
     pcg32 m_answerRandom;
+    pcg32 m_stopRandom;
     milliseconds m_end;
     timeline m_drawn;
     std::vector<milliseconds> m_serverFree;
