Tests of continuations wait for events, not for time

Cause: two scripts slept for 100 and 300 ms, so that on a slow machine the first server could go on before the wrong answer was judged, and the test would prove nothing. Change: the first server goes on once the gateway has counted the rejection; a server that breaks off needs no pause.

--- a/tests/gateway_continuation_test.cpp
+++ b/tests/gateway_continuation_test.cpp
@@ -3,7 +3,6 @@
 #include "gateway_deployment.h"
 
 #include <catch2/catch.hpp>
-#include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -170,7 +169,7 @@
 // Guards against a second attempt that takes over from a silent server with events that the client has.
 TEST_CASE("a second attempt that begins anew does not replace a stream that goes on", "[failure]")
 {
-    std::atomic<bool> answered = false;
+    std::atomic<bool> go = false;
     stream_site deployed(
         [&](raw_connection &out, const raw_request &in) {
             if (in.target() == "/report") { // not answered: the server counts as silent
@@ -179,17 +178,19 @@
             }
             if (!in.header("Last-Event-Id").empty()) {
                 out.write(streamHead(in) + events(0, LAST_EVENT) + LAST_CHUNK);
-                answered = true;
                 return true;
             }
             out.write(streamHead(in) + events(0, 1));
-            eventually([&] { return answered.load(); });
-            std::this_thread::sleep_for(milliseconds(300));
+            eventually([&] { return go.load(); });
             out.write(events(2, LAST_EVENT) + LAST_CHUNK);
             return true;
         },
         2);
-    const std::string got = deployed.stream();
+    raw_client client(deployed.site.front());
+    client.write(makeRequest("/stream/", "id1"));
+    CHECK(eventually([&] { return deployed.site.metricsText().find("continuations_rejected") != std::string::npos; }));
+    go = true;
+    const std::string got = client.readUntil("\r\n" + LAST_CHUNK, READ_LIMIT_MS);
     CAPTURE(got);
     CHECK(isWholeStream(got, LAST_EVENT));
 }
@@ -228,7 +229,6 @@
             }
             if (resumed++ == 0) {
                 out.write(streamHead(in) + chunk(": working\n\n"));
-                std::this_thread::sleep_for(milliseconds(100));
                 return false;
             }
             return streaming(LAST_EVENT)(out, in);
