--- a/src/core/buffer_quota.h
+++ b/src/core/buffer_quota.h
@@ -13,7 +13,7 @@
 class buffer_quota
 {
 public:
-    static constexpr std::size_t MAX_TOTAL = std::size_t(32) << 20; // bytes of all exchanges; an instance may have 160 MB
+    static constexpr std::size_t MAX_TOTAL = std::size_t(32) << 20; // bytes of all exchanges, a fifth of the memory of a small instance
     // Bytes that one exchange may keep although the total is exceeded. Most sound messages are smaller.
     static constexpr std::size_t SMALL = std::size_t(32) << 10;
 
