--- a/review/standin-2/rig.cpp
+++ b/review/standin-2/rig.cpp
@@ -640,6 +640,134 @@
     return broken > 0 ? 1 : 0;
 }
 
+//-----------------------------------------------------------------------------
+// Case "foreign-entry": an entry that lacks fields brings a server back that has left
+//-----------------------------------------------------------------------------
+
+constexpr milliseconds DRAIN_MS{2000};           // of the deployment
+constexpr milliseconds WORK{150};                // of the ledger servers for one request
+constexpr milliseconds SERVES_ON{7500};          // from the removal of the entry until the leaving server exits
+constexpr milliseconds FOREIGN_ENTRY_AFTER{500}; // from that removal
+constexpr int CLIENTS = 6;
+
+// A ledger server that can exit: its connections are closed, and requests in work are lost.
+struct ledger_server
+{
+    std::string id;
+    std::string address;
+    std::atomic<bool> exited = false;
+    std::mutex mutex;
+    std::map<std::string, std::pair<steady::time_point, bool>> runs; // request id -> arrival, answered
+};
+
+void startLedgerServer(ledger_server &server, const std::string &ip)
+{
+    int port = 0;
+    serveForever(listenAt(ip, 0, &port), [&server](wire &out, const message &in) {
+        const std::string id = in.header("x-chestnutgw-request-id");
+        if (server.exited) {
+            return false;
+        }
+        if (in.header("x-chestnutgw-target-instance") != server.id) {
+            return out.send("HTTP/1.1 421 X\r\nX-Chestnutgw-Not-Executed: 1\r\nX-Chestnutgw-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+        }
+        {
+            const std::lock_guard lock(server.mutex);
+            server.runs[id] = {steady::now(), false};
+        }
+        std::this_thread::sleep_for(WORK);
+        if (server.exited) {
+            return false; // the end of the process closes the connection
+        }
+        const std::lock_guard lock(server.mutex);
+        server.runs[id].second = out.send(answerHead(in, "Content-Length: 8\r\n") + "recorded");
+        return true;
+    });
+    server.address = ip + ":" + std::to_string(port);
+}
+
+int playForeignEntry()
+{
+    deployment all;
+    ledger_server leaving;
+    ledger_server staying;
+    leaving.id = "i-leaving";
+    staying.id = "i-staying";
+    for (ledger_server *server : {&leaving, &staying}) {
+        startLedgerServer(*server, all.ip);
+        all.store.put("keyed.servers", server->id, serverEntry("ledger-app", server->address, false));
+    }
+    all.startGateway();
+    struct sent_request
+    {
+        steady::time_point sent;
+        std::string status;
+    };
+    std::mutex mutex;
+    std::map<std::string, sent_request> requests;
+    std::atomic<bool> over = false;
+    std::vector<std::thread> clients;
+    for (int number = 0; number < CLIENTS; ++number) {
+        clients.emplace_back([&, number] {
+            for (int count = 0; !over; ++count) {
+                const std::string id = "c" + std::to_string(number) + "-" + std::to_string(count);
+                {
+                    const std::lock_guard lock(mutex);
+                    requests[id] = {steady::now(), "no answer"};
+                }
+                wire client(dial(all.ip, FRONT_PORT));
+                client.send(requestHead("/record/5", id, "key-one", 3000) + "Content-Length: 4\r\n\r\ngold");
+                message answer;
+                const bool answered = client.read(answer, 4000);
+                {
+                    const std::lock_guard lock(mutex);
+                    requests[id].status = answered ? answer.start : "connection closed";
+                }
+                std::this_thread::sleep_for(milliseconds(50));
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(1000));
+    all.store.put("keyed.servers", leaving.id, "");
+    const steady::time_point removed = steady::now();
+    record("the server " + leaving.id + " leaves: its entry is removed, acknowledged by the store; it serves on for " + std::to_string(SERVES_ON.count()) + " ms");
+    std::this_thread::sleep_for(FOREIGN_ENTRY_AFTER);
+    if (troubled()) {
+        std::string entry = serverEntry("ledger-app", leaving.address, false);
+        replaceAll(entry, R"(,"Sequence":1,"born":1700000000000)", "");
+        all.store.put("keyed.servers", leaving.id, entry);
+        record("ENTRY of another writer under that id, without Sequence and born: " + entry);
+    }
+    std::this_thread::sleep_until(removed + SERVES_ON);
+    leaving.exited = true;
+    record("the server " + leaving.id + " exits");
+    std::this_thread::sleep_for(milliseconds(1500));
+    over = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    int late = 0;
+    int lost = 0;
+    const std::lock_guard lock(mutex);
+    const std::lock_guard lockRuns(leaving.mutex);
+    for (const auto &[id, run] : leaving.runs) {
+        const auto after = std::chrono::duration_cast<milliseconds>(requests.at(id).sent - removed);
+        if (after <= DRAIN_MS) {
+            continue;
+        }
+        ++late;
+        lost += run.second ? 0 : 1;
+        if (late <= 5 || !run.second) {
+            record("BROKEN: DRAIN, " + id + ", sent by its client " + std::to_string(after.count()) + " ms after the removal, reached " + leaving.id + "; "
+                   + (run.second ? "answered" : "lost at its exit") + "; the client got: " + requests.at(id).status);
+        }
+    }
+    const auto failed = std::count_if(requests.begin(), requests.end(), [](const auto &entry) { return entry.second.status.find(" 200 ") == std::string::npos; });
+    record(std::to_string(requests.size()) + " requests, " + std::to_string(failed) + " of them without a success; " + std::to_string(late) + " reached the server too late, "
+           + std::to_string(lost) + " of these were lost at its exit");
+    return late > 0 ? 1 : 0;
+}
+
 //-----------------------------------------------------------------------------
 // Cases "unframed-stream" and "commented-stream": a model server is killed while it streams
 //-----------------------------------------------------------------------------
@@ -753,6 +881,7 @@
         record(std::string("case ") + name + (troubled() ? "" : ", without the disruption"));
         const int result = name == "coded-body"   ? playCodedBody()
             : name == "unframed-stream"           ? playStream(argv[0], "unframed", milliseconds(1200))
+            : name == "foreign-entry"             ? playForeignEntry()
             : name == "commented-stream"          ? playStream(argv[0], "commented", milliseconds(240))
                                                   : 2;
         record(result == 0 ? "RESULT: the rule held" : result == 1 ? "RESULT: the rule was broken" : "RESULT: unknown case");
