--- a/review/standin-2/rig.cpp
+++ b/review/standin-2/rig.cpp
@@ -464,14 +464,19 @@
     }
     bool ended()
     {
-        if (m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+        if (m_pid > 0 && ::waitpid(m_pid, &m_status, WNOHANG) == m_pid) {
             m_pid = -1;
         }
         return m_pid < 0;
     }
+    std::string endText() const
+    {
+        return WIFSIGNALED(m_status) ? "by signal " + std::to_string(WTERMSIG(m_status)) : "with status " + std::to_string(WEXITSTATUS(m_status));
+    }
 
 private:
     pid_t m_pid = -1;
+    int m_status = 0;
 };
 
 void replaceAll(std::string &text, const std::string &from, const std::string &to)
@@ -862,6 +867,200 @@
     }
     return broken ? 1 : !troubled() && !(succeeded && whole) ? 2 : 0;
 }
+//-----------------------------------------------------------------------------
+// Case "two-answers": a model server hangs for less than a second and goes on as the second attempts at another one are answered
+//-----------------------------------------------------------------------------
+
+constexpr int MODEL_SERVERS = 8; // two in the gateway's zone, which it prefers
+constexpr int NEAR_SERVERS = 2;
+constexpr int STREAM_CLIENTS = 60;
+constexpr int RECORD_CLIENTS = 10;
+constexpr int HANG_ROUNDS = 20;
+constexpr milliseconds LONGEST_HANG{1000};
+constexpr milliseconds BETWEEN_HANGS{2000};
+constexpr milliseconds HANG_STEP{4}; // by which the end of the hang comes later in each round
+
+constexpr milliseconds FIRST_TOKEN{120};
+constexpr milliseconds TOKEN_INTERVAL{40};
+constexpr milliseconds RECORD_WORK{300};
+constexpr std::size_t MAX_KEPT_CLOSED = 3; // by the rule
+
+std::mutex arrivalMutex;
+std::map<std::string, int> arrivals; // of streams at model servers, by request id
+std::atomic<int> repeated = 0;       // arrivals of a request that had arrived at a server before
+
+void noteArrival(const std::string &id)
+{
+    const std::lock_guard lock(arrivalMutex);
+    repeated += ++arrivals[id] > 1 ? 1 : 0;
+}
+
+// A model server whose whole process can hang: nothing is read, answered or refused meanwhile.
+class model_server
+{
+public:
+    explicit model_server(const std::string &ip)
+    {
+        int port = 0;
+        serveForever(listenAt(ip, 0, &port), [this](wire &out, const message &in) { return serve(out, in); });
+        address = ip + ":" + std::to_string(port);
+    }
+    void setHanging(bool hanging)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hanging = hanging;
+        m_changed.notify_all();
+    }
+    std::string address;
+
+private:
+    void awaitRunning()
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [this] { return !m_hanging; });
+    }
+    bool serve(wire &out, const message &in)
+    {
+        awaitRunning();
+        if (in.target() == "/report") {
+            const std::string body = R"({"Phase":"both","Models":[{"Name":"m0","Version":1,"Loras":[]}],"Layers":[{"From":0,"Target":80,"Version":1}],"Busy":false,)"
+                                     R"("Sequence":0,"Queued":0,"Running":1,"KvUsed":0,"KvTotal":90000,"Handles":0,"pace":1,"born":1700000000000,"Stalled":[]})";
+            return out.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        }
+        if (in.target() == "/order") {
+            return out.send("HTTP/1.1 409 X\r\nContent-Length: 2\r\n\r\n{}");
+        }
+        noteArrival(in.header("x-chestnutgw-request-id"));
+        std::this_thread::sleep_for(FIRST_TOKEN);
+        awaitRunning();
+        const std::string last = in.header("last-event-id");
+        const std::string usual = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nCache-Control: no-cache, no-store, must-revalidate\r\n"
+                                  "Strict-Transport-Security: max-age=31536000; includeSubDomains\r\nX-Content-Type-Options: nosniff\r\nX-Frame-Options: DENY\r\n"
+                                  "Content-Security-Policy: default-src 'none'; frame-ancestors 'none'\r\nReferrer-Policy: no-referrer\r\n"
+                                  "Permissions-Policy: geolocation=(), microphone=(), camera=()\r\nServer: model-server/1.4.2\r\nDate: Sun, 06 Dec 2026 21:00:00 GMT\r\n"
+                                  "X-Chestnutgw-Weight-Versions: 1\r\nX-Chestnutgw-Server-Load: 12,0,192\r\n";
+        std::string bytes = answerHead(in, usual);
+        for (int id = last.empty() ? 0 : std::stoi(last) + 1; id <= LAST_EVENT; ++id) {
+            const std::string event = "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
+            char size[20];
+            std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+            if (!out.send(bytes + size + event + "\r\n")) {
+                return false;
+            }
+            bytes.clear();
+            std::this_thread::sleep_for(TOKEN_INTERVAL);
+            awaitRunning();
+        }
+        return out.send("0\r\n\r\n");
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_hanging = false;
+};
+
+int playTwoAnswers()
+{
+    deployment all;
+    std::vector<std::unique_ptr<model_server>> models;
+    for (int number = 0; number < MODEL_SERVERS; ++number) {
+        models.push_back(std::make_unique<model_server>(all.ip));
+        std::string entry = serverEntry("assistant-llm", models.back()->address, true);
+        if (number >= NEAR_SERVERS) {
+            replaceAll(entry, R"("Zone":"a")", R"("Zone":"b")");
+        }
+        all.store.put("keyed.servers", "i-model-" + std::to_string(number), entry);
+    }
+    int port = 0;
+    serveForever(listenAt(all.ip, 0, &port), [](wire &out, const message &in) {
+        std::this_thread::sleep_for(RECORD_WORK);
+        return out.send(answerHead(in, "Content-Length: 8\r\n") + "recorded");
+    });
+    all.store.put("keyed.servers", "i-ledger", serverEntry("ledger-app", all.ip + ":" + std::to_string(port), false));
+    all.startGateway();
+    std::mutex mutex;
+    std::map<std::string, int> outcomes;
+    std::vector<std::string> keptClosed; // requests on kept connections that were closed without an answer
+    std::atomic<bool> over = false;
+    std::vector<std::thread> clients;
+    for (int number = 0; number < RECORD_CLIENTS; ++number) {
+        clients.emplace_back([&, number] {
+            wire client(dial(all.ip, FRONT_PORT));
+            for (int count = 0; !over; ++count) {
+                const std::string id = "r" + std::to_string(number) + "-" + std::to_string(count);
+                client.send(requestHead("/record/5", id, "key-one", 3000) + "Content-Length: 4\r\n\r\ngold");
+                message answer;
+                const bool answered = client.read(answer, 5000);
+                const std::lock_guard lock(mutex);
+                ++outcomes["record: " + (answered ? answer.start.substr(9) : "connection closed without an answer")];
+                if (!answered) {
+                    if (count > 0) {
+                        keptClosed.push_back(id);
+                    }
+                    return;
+                }
+            }
+        });
+    }
+    for (int number = 0; number < STREAM_CLIENTS; ++number) {
+        clients.emplace_back([&, number] {
+            for (int count = 0; !over; ++count) {
+                const std::string id = "s" + std::to_string(number) + "-" + std::to_string(count);
+                const int socket = dial(all.ip, FRONT_PORT);
+                if (socket < 0) {
+                    return;
+                }
+                wire client(socket);
+                client.send(requestHead("/note/5", id, "key-one", 20'000)
+                            + "X-Chestnutgw-Model-Name: m0\r\nX-Chestnutgw-Token-Count: 700,80\r\nX-Chestnutgw-Prefix-Hash: 5c1e07a2:40,91bd3f06:660\r\n"
+                              "Content-Length: 0\r\n\r\n");
+                message answer;
+                const bool whole = client.read(answer, 15'000);
+                const std::lock_guard lock(mutex);
+                ++outcomes["stream: " + (answer.start.empty() ? "connection closed without an answer" : answer.start.substr(9) + (whole ? "" : ", cut"))];
+            }
+        });
+    }
+    record("SENT from now on: " + std::to_string(STREAM_CLIENTS) + " clients with streams, " + std::to_string(RECORD_CLIENTS) + " with records on kept connections");
+    bool ended = false;
+    for (int round = 0; round < HANG_ROUNDS && !ended; ++round) {
+        std::this_thread::sleep_for(BETWEEN_HANGS);
+        if (troubled()) {
+            const auto began = steady::now();
+            models[0]->setHanging(true);
+            const int before = repeated;
+            while (repeated == before && steady::now() < began + LONGEST_HANG) {
+                std::this_thread::sleep_for(milliseconds(1));
+            }
+            std::this_thread::sleep_for(FIRST_TOKEN + HANG_STEP * round);
+            models[0]->setHanging(false);
+            const auto length = std::chrono::duration_cast<milliseconds>(steady::now() - began);
+            record("HANG of one model server for " + std::to_string(length.count()) + " ms; " + std::to_string(repeated - before) + " requests have arrived at another one meanwhile");
+        }
+        std::this_thread::sleep_for(milliseconds(500));
+        ended = all.gateway->ended();
+    }
+    over = true;
+    if (ended) {
+        record("ENDED: the gateway's process has ended by itself, " + all.gateway->endText());
+    }
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    for (const auto &[outcome, count] : outcomes) {
+        record("ANSWERED to clients: " + std::to_string(count) + " x " + outcome);
+    }
+    const bool broken = ended && keptClosed.size() > MAX_KEPT_CLOSED;
+    if (broken) {
+        std::string ids;
+        for (const std::string &id : keptClosed) {
+            ids += " " + id;
+        }
+        record("BROKEN: LOST, " + std::to_string(keptClosed.size()) + " requests of kept connections were passed on to a sound server and not answered:" + ids);
+    }
+    return broken ? 1 : 0;
+}
+
 }
 
 int main(int argc, char **argv)
@@ -882,6 +1081,7 @@
         const int result = name == "coded-body"   ? playCodedBody()
             : name == "unframed-stream"           ? playStream(argv[0], "unframed", milliseconds(1200))
             : name == "foreign-entry"             ? playForeignEntry()
+            : name == "two-answers"               ? playTwoAnswers()
             : name == "commented-stream"          ? playStream(argv[0], "commented", milliseconds(240))
                                                   : 2;
         record(result == 0 ? "RESULT: the rule held" : result == 1 ? "RESULT: the rule was broken" : "RESULT: unknown case");
