--- a/review/standin-2/rig.cpp
+++ b/review/standin-2/rig.cpp
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -60,6 +61,14 @@
     recordFile << ms << " ms  " << line << std::endl;
 }
 
+// One of many lines: written when the buffer is full, or at the end.
+void note(const std::string &line)
+{
+    const std::lock_guard lock(recordMutex);
+    const auto ms = std::chrono::duration_cast<milliseconds>(steady::now() - begun).count();
+    recordFile << ms << " ms  " << line << '\n';
+}
+
 [[noreturn]] void cannotRun(const std::string &reason)
 {
     record("CANNOT RUN: " + reason);
@@ -526,20 +535,17 @@
         : ip("127." + std::to_string(10 + ::getpid() / 62'500 % 200) + "." + std::to_string(::getpid() / 250 % 250) + "." + std::to_string(2 + ::getpid() % 250))
         , store(ip)
     {
-        char name[] = "/tmp/chestnutgw-review-XXXXXX";
-        if (::mkdtemp(name) == nullptr) {
+        folder = (std::filesystem::temp_directory_path() / "chestnutgw-review-XXXXXX").string();
+        if (::mkdtemp(folder.data()) == nullptr) {
             cannotRun("no temporary folder");
         }
-        folder = name;
         store.put("keyed.op", "config", configuration(1));
     }
     ~deployment()
     {
         gateway.reset();
-        const std::string remove = "rm -r " + folder;
-        if (std::system(remove.c_str()) != 0) {
-            std::cerr << "could not remove " << folder << std::endl;
-        }
+        std::error_code ignored; // nothing but log files stays behind
+        std::filesystem::remove_all(folder, ignored);
     }
     void startGateway()
     {
@@ -611,6 +617,7 @@
             const std::lock_guard lock(server.mutex);
             server.runs[id] = {steady::now(), false};
         }
+        note("RUN " + id + " at " + server.id);
         std::this_thread::sleep_for(WORK);
         if (server.exited) {
             return false; // the end of the process closes the connection
@@ -653,6 +660,7 @@
                     const std::lock_guard lock(mutex);
                     requests[id] = {steady::now(), "no answer"};
                 }
+                note("SENT " + id);
                 wire client(dial(all.ip, FRONT_PORT));
                 client.send(requestHead("/record/5", id, "key-one", 3000) + "Content-Length: 4\r\n\r\ngold");
                 message answer;
@@ -661,6 +669,7 @@
                     const std::lock_guard lock(mutex);
                     requests[id].status = answered ? answer.start : "connection closed";
                 }
+                note("ANSWERED " + id + ": " + (answered ? answer.start : "connection closed"));
                 std::this_thread::sleep_for(milliseconds(50));
             }
         });
@@ -733,6 +742,7 @@
                 runs[in.body].push_back(id);
                 ran[id] = true;
             }
+            note("RUN " + id + " at i-ledger-" + std::to_string(number));
             const bool fails = grey && number == 0 && (*draws)++ * GREY_PERCENT % 100 < GREY_PERCENT;
             if (fails) { // no signature, and no statement that it was not executed
                 return out.send("HTTP/1.1 503 Service Unavailable\r\nX-Chestnutgw-Request-Id: " + id + "\r\nContent-Length: 11\r\n\r\nunavailable");
@@ -753,9 +763,11 @@
                 for (int attempt = 0; attempt < 2; ++attempt) {
                     const std::string id = submission + "-" + std::to_string(attempt);
                     wire client(dial(all.ip, FRONT_PORT));
+                    note("SENT " + id);
                     client.send(requestHead("/record/5", id, "key-one", 3000) + "Content-Length: " + std::to_string(submission.size()) + "\r\n\r\n" + submission);
                     message answer;
                     client.read(answer, 4000);
+                    note("ANSWERED " + id + ": " + answer.start);
                     const bool promise = answer.start.find(" 503 ") != std::string::npos;
                     const std::lock_guard lock(mutex);
                     ++requests;
@@ -809,13 +821,14 @@
     const bool framed = manner != "unframed";
     const bool commented = manner == "commented";
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    serveForever(listenAt(ip, port), [framed, commented](wire &out, const message &in) {
+    serveForever(listenAt(ip, port), [ip, port, framed, commented](wire &out, const message &in) {
         if (in.target() == "/report") {
             const std::string body = R"({"Phase":"both","Models":[{"Name":"m0","Version":1,"Loras":[]}],"Layers":[{"From":0,"Target":80,"Version":1}],"Busy":false,)"
                                      R"("Sequence":0,"Queued":0,"Running":1,"KvUsed":0,"KvTotal":90000,"Handles":0,"pace":1,"born":1700000000000,"Stalled":[]})";
             return out.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         }
         const std::string last = in.header("last-event-id");
+        std::cout << "RUN " << in.header("x-chestnutgw-request-id") << " at " << ip << ":" << port << ", after event '" << last << "'" << std::endl;
         const std::string framing = framed ? "Transfer-Encoding: chunked\r\n" : "Connection: close\r\n";
         out.send(answerHead(in, "Content-Type: text/event-stream\r\n" + framing));
         if (commented) {
@@ -879,6 +892,10 @@
     message answer;
     const bool whole = client.read(answer, 15'000);
     events.join();
+    std::ifstream runs(all.folder + "/servers.log");
+    for (std::string line; std::getline(runs, line);) {
+        record(line);
+    }
     const int count = countEvents(answer.body);
     const bool succeeded = answer.start.find(" 200 ") != std::string::npos;
     record("ANSWERED to the client: " + answer.start + ", " + std::to_string(count) + " events, " + (!succeeded ? "an error" : whole ? "ended as complete" : "did not end as complete"));
@@ -964,6 +981,7 @@
             return out.send("HTTP/1.1 409 X\r\nContent-Length: 2\r\n\r\n{}");
         }
         noteArrival(in.header("x-chestnutgw-request-id"));
+        note("RUN " + in.header("x-chestnutgw-request-id") + " at " + address);
         std::this_thread::sleep_for(FIRST_TOKEN);
         awaitRunning();
         awaitPass();
@@ -1010,6 +1028,7 @@
     }
     int port = 0;
     serveForever(listenAt(all.ip, 0, &port), [](wire &out, const message &in) {
+        note("RUN " + in.header("x-chestnutgw-request-id") + " at i-ledger");
         std::this_thread::sleep_for(RECORD_WORK);
         return out.send(answerHead(in, "Content-Length: 8\r\n") + "recorded");
     });
@@ -1025,9 +1044,11 @@
             wire client(dial(all.ip, FRONT_PORT));
             for (int count = 0; !over; ++count) {
                 const std::string id = "r" + std::to_string(number) + "-" + std::to_string(count);
+                note("SENT " + id);
                 client.send(requestHead("/record/5", id, "key-one", 3000) + "Content-Length: 4\r\n\r\ngold");
                 message answer;
                 const bool answered = client.read(answer, 5000);
+                note("ANSWERED " + id + ": " + (answered ? answer.start : "connection closed without an answer"));
                 const std::lock_guard lock(mutex);
                 ++outcomes["record: " + (answered ? answer.start.substr(9) : "connection closed without an answer")];
                 if (!answered) {
@@ -1048,11 +1069,13 @@
                     return;
                 }
                 wire client(socket);
+                note("SENT " + id);
                 client.send(requestHead("/note/5", id, "key-one", 20'000)
                             + "X-Chestnutgw-Model-Name: m0\r\nX-Chestnutgw-Token-Count: 700,80\r\nX-Chestnutgw-Prefix-Hash: 5c1e07a2:40,91bd3f06:660\r\n"
                               "Content-Length: 0\r\n\r\n");
                 message answer;
                 const bool whole = client.read(answer, 15'000);
+                note("ANSWERED " + id + ": " + answer.start + ", " + std::to_string(countEvents(answer.body)) + " events" + (whole ? "" : ", not complete"));
                 const std::lock_guard lock(mutex);
                 ++outcomes["stream: " + (answer.start.empty() ? "connection closed without an answer" : answer.start.substr(9) + (whole ? "" : ", cut"))];
             }
