No step of an exchange with a server succeeds after it was aborted

Cause: an exchange reported `ok` for a step that had completed before abort(), and whose handler ran after it. The coroutine of a second attempt went on after it had been ended, and used the exposure that endAttempt() had released. abort() before connect() had no effect.

Why it works: each step asks for abort() when it ends, whatever its own result, so that `ok` tells its awaiter that nobody has ended the attempt. endAttempt() aborts the exchange of an opening in progress before it releases what that coroutine uses.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -172,6 +172,9 @@
         return;
     }
     attempt->ended = true;
+    if (attempt->opening == opening_state::pending) {
+        attempt->exchange->abort(); // its coroutine uses what is released here
+    }
     attempt->stallTimer.cancel();
     attempt->exposure.reset();
     attempt->load.reset();
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -58,7 +58,7 @@
     opening_state rejectContinuation(const stream_attempt &attempt, const upstream_exchange &exchange, const char *reason);
     // Waits until the attempt is open, and forwards its answer.
     asio::awaitable<attempt_result> followAttempt(attempt_ptr attempt);
-    // Releases the attempt's servers.
+    // Releases the attempt's servers. An opening in progress ends with `aborted`.
     static void endAttempt(const attempt_ptr &attempt);
 
     //-- Second attempt beside a silent one --
--- a/src/gateway/generation_opening.cpp
+++ b/src/gateway/generation_opening.cpp
@@ -73,7 +73,7 @@
     // An idle connection may be about to be closed by the server, which must not cost the only or the last attempt.
     const bool fresh = !m_facts.matched->resumable || m_outcome.runs > 0;
     exchange_status status = co_await exchange.connect(fresh, std::min<steady_time>(m_facts.deadline, start + CONNECT_TIMEOUT));
-    if (attempt.ended || !clientWaits()) {
+    if (status == exchange_status::aborted || !clientWaits()) {
         co_return opening_state::not_run;
     }
     if (status != exchange_status::ok) {
--- a/src/gateway/generation_second.cpp
+++ b/src/gateway/generation_second.cpp
@@ -61,9 +61,6 @@
     if (!m_second) {
         return;
     }
-    if (m_second->opening == opening_state::pending || m_second->opening == opening_state::open) {
-        m_second->exchange->abort();
-    }
     endAttempt(m_second);
     m_second.reset();
 }
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -214,20 +214,26 @@
     return known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
+// Closing a socket does not take back an operation that has completed and whose handler is queued: its step ends as aborted all the same.
 exchange_status upstream_exchange::translate(error_code error)
 {
-    if (!error) {
-        return exchange_status::ok;
+    if (error) {
+        m_error = error.message();
     }
-    m_error = error.message();
     if (m_aborted) {
         return exchange_status::aborted;
     }
+    if (!error) {
+        return exchange_status::ok;
+    }
     return error == beast::error::timeout ? exchange_status::timed_out : exchange_status::broken;
 }
 
 asio::awaitable<exchange_status> upstream_exchange::connect(bool fresh, steady_time until)
 {
+    if (m_aborted) {
+        co_return exchange_status::aborted;
+    }
     if (!fresh) {
         m_connection = m_pool.takeIdle(m_address, m_requestId);
         if (m_connection) {
@@ -242,8 +248,11 @@
     m_connection->stream.expires_at(until);
     error_code error;
     co_await m_connection->stream.async_connect(*endpoint, into(error));
+    if (m_aborted) {
+        co_return exchange_status::aborted;
+    }
     if (error) {
-        co_return m_aborted ? exchange_status::aborted : exchange_status::connect_failed;
+        co_return exchange_status::connect_failed;
     }
     tuneSocket(m_connection->stream.socket().native_handle());
     co_return exchange_status::ok;
@@ -251,6 +260,9 @@
 
 asio::awaitable<exchange_status> upstream_exchange::send(std::string head, const std::string &body, steady_time until)
 {
+    if (m_aborted) {
+        co_return exchange_status::aborted;
+    }
     m_sent = true;
     m_connection->stream.expires_at(until);
     error_code error;
@@ -268,8 +280,8 @@
         m_parser->skip(m_noBody);
         m_connection->stream.expires_at(until);
         const error_code error = co_await receiveHead();
-        if (error) {
-            co_return translate(error);
+        if (const exchange_status received = translate(error); received != exchange_status::ok) {
+            co_return received;
         }
         storeHead();
         if (m_head.status < 200) {
@@ -345,7 +357,7 @@
 {
     piece.clear();
     std::array<char, PIECE_BYTES> pieceBuffer;
-    while (piece.empty() && !m_parser->is_done()) {
+    while (!m_aborted && piece.empty() && !m_parser->is_done()) {
         if (std::chrono::steady_clock::now() > until + LATE_DATA_LIMIT) { // data that is always there never meets the timeout of the stream
             co_return exchange_status::timed_out;
         }
@@ -364,7 +376,7 @@
         }
     }
     m_complete = m_parser->is_done();
-    co_return exchange_status::ok;
+    co_return translate({});
 }
 
 asio::awaitable<exchange_status> upstream_exchange::readBody(std::string &body, std::size_t limit, steady_time until)
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -107,7 +107,7 @@
     connect_failed, // no byte of the request was sent
     timed_out,
     broken,  // connection lost or invalid answer
-    aborted, // abort() was called
+    aborted, // abort() was called before the step ended
 };
 
 const char *toText(exchange_status status);
@@ -120,7 +120,8 @@
     bool endsWithConnection = false; // the answer has neither a length nor chunks
 };
 
-// One request and its answer. The steps (connect, send, read) are awaited one after the other; abort() may be called at any time.
+// One request and its answer. The steps (connect, send, read) are awaited one after the other; abort() may be called at any time. Each step
+// that ends after that ends as `aborted`: whoever awaits one knows from `ok` that nobody has given up the exchange meanwhile.
 class upstream_exchange
 {
 public:
--- a/tests/gateway_attempt_race_test.cpp
+++ b/tests/gateway_attempt_race_test.cpp
@@ -1,4 +1,4 @@
-// Tests what happens if the server of a stream goes on in the moment in which its second attempt starts or fails.
+// Tests what happens if the server of a stream goes on in the moment in which its second attempt starts, fails or is answered.
 
 #include "gateway_deployment.h"
 
@@ -70,6 +70,63 @@
     CHECK(statusOf(exchange(site.front(), makeRequest("/stream/", "id2"))) == 200);
 }
 
+// Guards against the end of the process in review case 6: the second attempt was ended while the last read of its answer's head had
+// completed, but was not handled yet.
+TEST_CASE("a server that goes on as its second attempt is answered does not end the process", "[failure]")
+{
+    const std::string longHeader = "Padding: " + std::string(700, 'p') + "\r\n";
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const std::string half = events(2, 2).substr(0, 8); // chunk size and the beginning of the event: one read is enough for the rest
+    const bool isLong = GENERATE(true, false);
+    CAPTURE(isLong);
+    std::atomic<int> asked = 0;
+    std::atomic<bool> stopped = false;
+    std::atomic<bool> answered = false;
+    std::atomic<bool> resumed = false;
+    // The first server asked falls silent and goes on right after the second one has answered.
+    const server_script script = [&](raw_connection &out, const raw_request &in) {
+        if (in.target() == "/report") {
+            out.waitForClose(4000); // no answer
+            return false;
+        }
+        std::string head = streamHead(in);
+        switch (asked++) {
+        case 0:
+            out.write(head + events(0, 1) + half);
+            eventually([&] { return answered.load(); });
+            out.write(events(2, LAST_EVENT).substr(half.size()) + "0\r\n\r\n");
+            resumed = true;
+            return true;
+        case 1:
+            eventually([&] { return stopped.load(); });
+            head.insert(head.find("\r\n") + 2, isLong ? longHeader : "");
+            out.write((isLong ? "" : interim) + head + events(firstEventOf(in), LAST_EVENT) + "0\r\n\r\n");
+            answered = true;
+            return true;
+        default:
+            out.write(head + events(firstEventOf(in), LAST_EVENT) + "0\r\n\r\n");
+            return true;
+        }
+    };
+    scripted_server one(script);
+    scripted_server two(script);
+    deployment site;
+    site.addServer("i-1", "lm", one.address(), 0, 4);
+    site.addServer("i-2", "lm", two.address(), 0, 4);
+    site.start();
+    raw_client client(site.front());
+    client.write(makeRequest("/stream/", "id1"));
+    client.readUntil("piece1");
+    REQUIRE(eventually([&] { return asked == 2; }));
+    site.gateways[0]->signal(SIGSTOP); // so that both answers are read in the same turn
+    stopped = true;
+    REQUIRE(eventually([&] { return resumed.load(); }));
+    site.gateways[0]->signal(SIGCONT);
+    CHECK(isWholeStream(client.readUntil("0\r\n\r\n", 5000), LAST_EVENT));
+    CHECK_FALSE(site.gateways[0]->hasEnded());
+    CHECK(statusOf(exchange(site.front(), makeRequest("/stream/", "id2"))) == 200);
+}
+
 TEST_CASE("a stream that goes on while a repath is refused gets no second attempt", "[failure]")
 {
     constexpr int LAST = 20;
