A write towards a client whose connection has been cut is not accepted

Callers saw: nothing; a server went on with the stream of a client whose connection the gateway had cut for lack of memory, until its next event.

Evidence: "no write of an answer is accepted after its connection was cut ..." cuts the connection between any two handlers of an answer; before, ten writes behind a cut counted as accepted.

Why it works: writeAll() asks for both when it ends, as an exchange with a server does.

--- a/src/gateway/client_answers.cpp
+++ b/src/gateway/client_answers.cpp
@@ -40,7 +40,7 @@
     if (error && !m_clientGone) {
         handleClientGone(error == asio::error::operation_aborted ? client_end::not_reading : client_end::reset);
     }
-    co_return !error;
+    co_return !error && !m_clientGone && !m_cut; // both may have happened since the last bytes were accepted
 }
 
 std::string client_session::encodeHead(int status, const header_list &headers) const
