An answer with a status that no server may send is unusable

Callers saw: 000, 001, 099, 101 and 199 of a server held the request until its deadline (504) although another server could be asked; 600, 700 and 999 reached them as the answer. chestnutgw-entry took 101, 600, 700 and 999 for complete answers and recorded them as the outcome of a service that runs once. Store calls and orders with such a status counted as refused; a report with 000 as the end of the process.

Cause: no place decided what a final status is. readHead() took all below 200 for interim, libcurl takes 101 and 600 to 999 for final.

Why it works: classifyStatus() decides for both programs: interim is 100 to 199 but 101, final 200 to 599. Anything else breaks the exchange at once, and so does an interim answer that announces a body. The HTTP client reports it as not completed and without a status. Whether a server responded at all is told apart from that, as it says whether its process lives.

--- a/src/gateway/generation_flow.cpp
+++ b/src/gateway/generation_flow.cpp
@@ -305,7 +305,7 @@
     }
     m_outcome.silence = attempt.silence(std::chrono::steady_clock::now());
     m_outcome.lastEnd = overdue() ? attempt_end::deadline : attempt_end::server_broke;
-    logBroken(attempt, status);
+    logBroken(attempt, exchange, status);
     if (status == exchange_status::broken && attempt.exposure && attempt.exposure->open()) {
         checkServer(attempt);
     }
--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -94,7 +94,7 @@
     // A server's process ended while it began to answer this request.
     void noteEnded(const server_process &process, steady_time at);
     // Logs what ran at the server, so that the requests of several servers that ended can be compared.
-    void logBroken(const stream_attempt &attempt, exchange_status status);
+    void logBroken(const stream_attempt &attempt, const upstream_exchange &exchange, exchange_status status);
 
     //-- Stalls --
     // While the attempt receives no data, asks its first server what it waits for, then replaces the stalled stage or starts a second
--- a/src/gateway/generation_parts.cpp
+++ b/src/gateway/generation_parts.cpp
@@ -81,7 +81,7 @@
     m_state.partReports.report();
 }
 
-void generation_flow::logBroken(const stream_attempt &attempt, exchange_status status)
+void generation_flow::logBroken(const stream_attempt &attempt, const upstream_exchange &exchange, exchange_status status)
 {
     m_state.counters.count("attempts_broken", {{"began", attempt.headRead ? "yes" : "no"}, {"status", toText(status)}});
     const steady_time now = std::chrono::steady_clock::now();
@@ -95,6 +95,7 @@
              {"server", attempt.first().server.text},
              {"address", attempt.first().address},
              {"status", toText(status)},
+             {"error", exchange.errorText()},
              {"sent_ms", age(attempt.sent)},
              {"began_ms", age(attempt.firstData)},
              {"events", std::to_string(attempt.splitter.events())},
--- a/src/gateway/plain_flow.cpp
+++ b/src/gateway/plain_flow.cpp
@@ -304,7 +304,7 @@
         noteFailure(one.server.address, failure_kind::broken); // also after a timeout: one slow answer does not show that the server is lost
     }
     const int status = one.answer.head.status;
-    if (one.status == exchange_status::broken && status == 0 && one.exchange->onReusedConnection()) {
+    if (one.status == exchange_status::broken && !one.exchange->answered() && one.exchange->onReusedConnection()) {
         m_stale.push_back(one.server.address);
     }
     logLine(log_level::info, "answer_unusable",
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/completion.h"
 #include "gateway/headers.h"
+#include "kernel/http_status.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -284,7 +285,12 @@
             co_return received;
         }
         storeHead();
-        if (m_head.status < 200) {
+        const status_kind kind = classifyStatus(m_head.status);
+        if (kind == status_kind::invalid || (kind == status_kind::interim && announcesBody())) {
+            m_error = "invalid status " + std::to_string(m_head.status);
+            co_return exchange_status::broken;
+        }
+        if (kind == status_kind::interim) {
             continue;
         }
         const std::string_view echoed = headerValue(m_head.headers, idHeader);
@@ -328,6 +334,7 @@
 void upstream_exchange::storeHead()
 {
     const auto &message = m_parser->get();
+    m_answered = true;
     m_head = {};
     m_head.status = static_cast<int>(message.result_int());
     m_head.endsWithConnection = m_parser->need_eof();
@@ -341,6 +348,11 @@
     }
 }
 
+bool upstream_exchange::announcesBody() const
+{
+    return m_parser->chunked() || m_parser->content_length().value_or(0) > 0;
+}
+
 void upstream_exchange::setReuseDeadline()
 {
     milliseconds lifetime = DEFAULT_REUSE;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -135,7 +135,8 @@
     asio::awaitable<exchange_status> connect(bool fresh, steady_time until);
     // Sends a request; its body must stay valid until then.
     asio::awaitable<exchange_status> send(std::string head, const std::string &body, steady_time until);
-    // Reads the head of the answer to the request; skips interim (1xx) answers and late answers to other requests.
+    // Reads the head of the answer to the request; skips interim (1xx) answers and late answers to other requests. `broken` if the status
+    // is invalid, or if a body follows an interim answer, which would be taken for the next head.
     asio::awaitable<exchange_status> readHead(const std::string &idHeader, steady_time until);
     // Notes that the answer is a refusal: the connection is not used for this request again.
     void noteRefused();
@@ -158,6 +159,11 @@
     {
         return m_connection && m_connection->reused;
     }
+    // True once the head of an answer was read, whatever its status.
+    bool answered() const
+    {
+        return m_answered;
+    }
     // True once bytes of the request may have been sent.
     bool sent() const
     {
@@ -184,6 +190,7 @@
     // Reads until the parser has a whole head.
     asio::awaitable<boost::system::error_code> receiveHead();
     void storeHead();
+    bool announcesBody() const;
     void setReuseDeadline();
 
     upstream_pool &m_pool;
@@ -195,6 +202,7 @@
     answer_head m_head;
     std::string m_error;
     bool m_sent = false;
+    bool m_answered = false;
     bool m_complete = false; // the answer was read completely
     bool m_aborted = false;
     bool m_noBody = false;
--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/event_loop.h"
 
+#include "kernel/http_status.h"
 #include "kernel/log.h"
 #include "kernel/scope.h"
 
@@ -118,6 +119,15 @@
     return piece.size();
 }
 
+// Why the exchange did not complete; empty if it did.
+std::string findError(CURLcode code, int status)
+{
+    if (code != CURLE_OK) {
+        return curl_easy_strerror(code);
+    }
+    return classifyStatus(status) == status_kind::final ? std::string() : "invalid status " + std::to_string(status);
+}
+
 // Returns the trimmed value if the line is the named header, else an empty view.
 std::string_view headerValue(std::string_view line, std::string_view name)
 {
@@ -412,17 +422,19 @@
     m_transfers.erase(found);
     cancel(one->idleTimer);
     cancel(one->totalTimer);
-    one->result.status = static_cast<int>(statusOf(one->easy));
+    const int status = static_cast<int>(statusOf(one->easy));
     curl_off_t connectTime = 0;
     curl_easy_getinfo(one->easy, CURLINFO_CONNECT_TIME_T, &connectTime);
     long connects = 0;
     curl_easy_getinfo(one->easy, CURLINFO_NUM_CONNECTS, &connects);
     // A reused connection reports no new connect, although it was established.
-    one->result.connected = connectTime > 0 || one->result.status != 0 || (connects == 0 && code != CURLE_COULDNT_CONNECT);
+    one->result.connected = connectTime > 0 || status != 0 || (connects == 0 && code != CURLE_COULDNT_CONNECT);
     one->result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
-    if (code != CURLE_OK) {
-        one->result.error = curl_easy_strerror(code);
-    }
+    curl_off_t firstByteTime = 0;
+    curl_easy_getinfo(one->easy, CURLINFO_STARTTRANSFER_TIME_T, &firstByteTime);
+    one->result.responded = firstByteTime > 0 && code != CURLE_GOT_NOTHING; // libcurl also notes the time of an end without data
+    one->result.error = findError(code, status);
+    one->result.status = classifyStatus(status) == status_kind::final ? status : 0;
     curl_multi_remove_handle(m_multi, one->easy);
     if (one->handler.onDone) {
         one->handler.onDone(std::move(one->result));
--- a/src/kernel/event_loop.h
+++ b/src/kernel/event_loop.h
@@ -33,10 +33,11 @@
 // Result of an outgoing request.
 struct http_result
 {
-    int status = 0;                          // HTTP status, 0 = no response
+    int status = 0;                          // HTTP status of the final response, 0 = none: its head is incomplete, or its status invalid
+    bool responded = false;                  // bytes of a response were received, usable or not
     bool connected = false;                  // the connection was established, so bytes of the request may have been sent
     bool timedOut = false;                   // one of the timeouts of the request expired
-    std::string error;                       // error text of libcurl if the exchange did not complete, else empty
+    std::string error;                       // why the exchange did not complete, else empty
     std::string body;                        // received body, empty if it was passed to onData
     milliseconds retryAfter{0};              // from the header Retry-After
     std::string verdictHeader;               // from the header Chestnutgw-Verdict
--- a/tests/entry_silence_test.cpp
+++ b/tests/entry_silence_test.cpp
@@ -3,6 +3,7 @@
 
 #include "cluster.h"
 #include "scripted_server.h"
+#include "service_site.h"
 
 #include <algorithm>
 #include <atomic>
@@ -325,58 +326,6 @@
 // Services
 //-----------------------------------------------------------------------------
 
-namespace
-{
-
-// One instance whose sheet names a repeatable service with these replicas.
-class service_site
-{
-public:
-    service_site(const std::vector<const scripted_server *> &replicas, int deadlineMs)
-        : m_cluster(makeOptions())
-    {
-        m_cluster.publish();
-        config_row service;
-        service.kind = "service";
-        service.name = "lookup";
-        service.repeat = "repeatable";
-        service.deadlineMs = deadlineMs;
-        std::vector<config_row> rows{service};
-        for (std::size_t i = 0; i < replicas.size(); ++i) {
-            config_row replica;
-            replica.kind = "replica";
-            replica.name = "l" + std::to_string(i);
-            replica.of = "lookup";
-            replica.failureDomain = "domain-a";
-            replica.address = replicas[i]->address();
-            replica.state = "active";
-            rows.push_back(replica);
-        }
-        const std::string added = formatSheet(rows);
-        if (!request("POST", m_cluster.url(0) + "/operator/sheets", m_cluster.sheet() + added.substr(added.find('\n') + 1)).ok()) {
-            throw std::runtime_error("the sheet was not accepted");
-        }
-    }
-
-    http_result call(const std::string &body = "body") const
-    {
-        return request("POST", m_cluster.url(0) + "/services/lookup/x", body, {std::string("Authorization: Bearer ") + TEST_KEY});
-    }
-
-private:
-    static cluster::options makeOptions()
-    {
-        cluster::options options;
-        options.entries = 1;
-        options.enginesPerStage = 0;
-        return options;
-    }
-
-    cluster m_cluster;
-};
-
-}
-
 TEST_CASE("a repeatable call that a silent replica may have run is not reported as not_run", "[failure]")
 {
     const bool refusesNext = GENERATE(false, true);
--- a/tests/kernel_test.cpp
+++ b/tests/kernel_test.cpp
@@ -3,6 +3,7 @@
 #include "kernel/event_loop.h"
 #include "kernel/hash.h"
 #include "kernel/http_server.h"
+#include "kernel/http_status.h"
 #include "kernel/settings.h"
 #include "process.h"
 
@@ -172,3 +173,15 @@
     CHECK(ran.get_future().wait_for(std::chrono::seconds(10)) == std::future_status::ready);
     loop.stop();
 }
+
+TEST_CASE("a status is final from 200 to 599, interim below that, and otherwise invalid", "[unit]")
+{
+    const auto kindOf = [](std::initializer_list<int> statuses) {
+        std::vector<status_kind> kinds;
+        std::transform(statuses.begin(), statuses.end(), std::back_inserter(kinds), classifyStatus);
+        return kinds;
+    };
+    CHECK(kindOf({100, 102, 103, 199}) == std::vector(4, status_kind::interim));
+    CHECK(kindOf({200, 204, 304, 421, 503, 599}) == std::vector(6, status_kind::final));
+    CHECK(kindOf({-1, 0, 1, 20, 99, 101, 600, 999, 2000}) == std::vector(9, status_kind::invalid));
+}
--- a/tests/server_calls_test.cpp
+++ b/tests/server_calls_test.cpp
@@ -40,7 +40,8 @@
 TEST_CASE("a server whose report is unusable is not taken for one that has ended", "[failure]")
 {
     const std::string bytes = GENERATE("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
-                                       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nxxxx");
+                                       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nxxxx",
+                                       "HTTP/1.1 000 Status\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 600 Status\r\nContent-Length: 0\r\n\r\n");
     CAPTURE(bytes);
     const scripted_server server(sending(bytes));
     CHECK(stateOf(server.address()) == process_state::alive);
@@ -62,3 +63,9 @@
     const scripted_server silent(sending(""));
     CHECK(stateOf(silent.address()) == process_state::silent);
 }
+
+TEST_CASE("a server that closes the connection to its report without a byte has ended", "[failure]")
+{
+    const scripted_server closing([](raw_connection &, const raw_request &) { return false; });
+    CHECK(stateOf(closing.address()) == process_state::ended);
+}
