An answer whose head stops before its end is not complete

Callers saw: a replica that stopped within its answer's head and closed made 200 with an empty body, framed as whole, at chestnutgw-entry. Both programs believed such an answer from the store, from servers and engines: orders counted as given, appends as done, and an append with a cut 429 or 503 as not done.

Cause: libcurl reports an exchange that ends between the status line and the blank line as complete, with the status of that line.

Why it works: the event loop follows the lines of the head, and completes a transfer only if the last head's blank line has arrived. Else the result has an error and no status, so that no caller needs a check of its own.

--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -58,6 +58,7 @@
     http_request request;          // owns the body, which libcurl does not copy
     transfer_handler handler;      // callbacks of the transfer
     http_result result;            // filled while the transfer runs
+    bool headComplete = false;     // the head of the last response was received to its end
     steady_time lastByte;          // time of the last received byte
     timer_id idleTimer = 0;        // enforces request.idleTimeout
     timer_id totalTimer = 0;       // enforces request.totalTimeout
@@ -119,15 +120,28 @@
     return piece.size();
 }
 
-// Why the exchange did not complete; empty if it did.
-std::string findError(CURLcode code, int status)
+// Why the exchange did not complete; empty if it did. libcurl takes the end of the connection within a head for the end of the response.
+std::string findError(const transfer &one, CURLcode code, int status)
 {
     if (code != CURLE_OK) {
         return curl_easy_strerror(code);
     }
+    if (!one.headComplete) {
+        return "the connection ended within the head of the response";
+    }
     return classifyStatus(status) == status_kind::final ? std::string() : "invalid status " + std::to_string(status);
 }
 
+// Notes where the head of a response begins and ends. No line of a trailer looks like the first one of a head.
+void trackHead(transfer &one, std::string_view line)
+{
+    if (line.starts_with("HTTP/")) { // also behind an interim response
+        one.headComplete = false;
+    } else if (line == "\r\n" || line == "\n") {
+        one.headComplete = true;
+    }
+}
+
 // Returns the trimmed value if the line is the named header, else an empty view.
 std::string_view headerValue(std::string_view line, std::string_view name)
 {
@@ -145,6 +159,7 @@
     auto *self = static_cast<transfer *>(user);
     const std::string_view line(data, size * count);
     self->lastByte = std::chrono::steady_clock::now();
+    trackHead(*self, line);
     if (const auto value = headerValue(line, "Retry-After"); !value.empty()) {
         self->result.retryAfter = milliseconds(static_cast<long>(std::strtod(std::string(value).c_str(), nullptr) * 1000));
     }
@@ -433,8 +448,8 @@
     curl_off_t firstByteTime = 0;
     curl_easy_getinfo(one->easy, CURLINFO_STARTTRANSFER_TIME_T, &firstByteTime);
     one->result.responded = firstByteTime > 0 && code != CURLE_GOT_NOTHING; // libcurl also notes the time of an end without data
-    one->result.error = findError(code, status);
-    one->result.status = classifyStatus(status) == status_kind::final ? status : 0;
+    one->result.error = findError(*one, code, status);
+    one->result.status = one->headComplete && classifyStatus(status) == status_kind::final ? status : 0;
     curl_multi_remove_handle(m_multi, one->easy);
     if (one->handler.onDone) {
         one->handler.onDone(std::move(one->result));
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -1,5 +1,5 @@
-// Tests what the callers of chestnutgw-entry's HTTP client believe after an answer that none may rely on: its
-// status is none that a server may send.
+// Tests what the callers of chestnutgw-entry's HTTP client believe after an answer that none may rely on: its head stops before its end, or
+// its status is none that a server may send.
 
 #include "backend/engine.h"
 #include "broken_answers.h"
@@ -28,6 +28,23 @@
 
 }
 
+// Guards against an empty answer that is taken for the whole one.
+TEST_CASE("an answer whose head stops before its end is not taken for a whole one", "[failure]")
+{
+    const broken_answer answer = GENERATE(from_range(CUT_HEADS));
+    const bool streamed = GENERATE(false, true);
+    CAPTURE(answer.name, streamed);
+    const scripted_server server(sending(answer));
+    std::atomic<int> pieces = 0;
+    const http_result result = streamed ? transferTo(server.address(), [&](int, std::string_view) { ++pieces; }) : transferTo(server.address());
+    CHECK_FALSE(result.completed());
+    CHECK_FALSE(result.ok());
+    CHECK(result.status == 0);
+    CHECK(result.connected);
+    CHECK_FALSE(result.timedOut);
+    CHECK(pieces == 0);
+}
+
 // Guards against an answer without meaning that is taken for a final one.
 TEST_CASE("an answer whose status no server may send is not taken for an answer", "[failure]")
 {
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -21,6 +21,8 @@
     bool resets = false; // closes with a TCP reset
 };
 
+// Heads of a success that stop before their end.
+extern const std::vector<broken_answer> CUT_HEADS;
 // Whole answers whose status is none that a server may send.
 extern const std::vector<broken_answer> INVALID_STATUSES;
 std::vector<broken_answer> allBroken();
--- a/tests/gateway_broken_answer_test.cpp
+++ b/tests/gateway_broken_answer_test.cpp
@@ -2,6 +2,7 @@
 // or its status is none that a server may send.
 
 #include "broken_answers.h"
+#include "gateway_deployment.h"
 #include "platform/decode.h"
 #include "platform/server_calls.h"
 #include "platform/store_client.h"
@@ -59,3 +60,21 @@
     });
     CHECK(read.status == platform::store_status::unknown);
 }
+
+// Guards against an empty answer that a client takes for the whole one.
+TEST_CASE("an answer whose head stops before its end becomes 502", "[failure]")
+{
+    const broken_answer broken = GENERATE(from_range(CUT_HEADS));
+    const std::string path = GENERATE("/once/", "/safe/", "/stream/", "/single/");
+    CAPTURE(broken.name, path);
+    broken_answer signedAnswer = broken;
+    if (const std::size_t at = signedAnswer.bytes.find("200 OK\r\n"); at != std::string::npos) {
+        signedAnswer.bytes.insert(at + 8, SIGNATURE + "X-Chestnutgw-Request-Id: id1\r\n");
+    }
+    scripted_server server(sending(signedAnswer));
+    deployment site;
+    site.addServer("i-1", "app", server.address());
+    site.addServer("i-2", "lm", server.address(), 0, 4);
+    site.start();
+    CHECK(statusOf(exchange(site.front(), makeRequest(path, "id1"))) == 502);
+}
