A transfer of the event loop has files of its own

The event loop keeps what schedules transfers; options, callbacks of libcurl and the result of one transfer move to http_transfer.cpp.

--- a/src/kernel/event_loop.cpp
+++ b/src/kernel/event_loop.cpp
@@ -1,21 +1,19 @@
-// Sections: libcurl callbacks, transfers, timers and tasks, public interface.
+// Sections: libcurl callbacks, transfers, timers and tasks, public interface. What concerns a single transfer is in http_transfer.cpp.
 
 #include "kernel/event_loop.h"
 
-#include "kernel/http_status.h"
+#include "kernel/http_transfer.h"
 #include "kernel/log.h"
 #include "kernel/scope.h"
 
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <curl/curl.h>
 #include <future>
 #include <map>
 #include <mutex>
 #include <pthread.h>
 #include <stdexcept>
-#include <strings.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <thread>
@@ -27,10 +25,8 @@
 namespace
 {
 
-constexpr long STREAM_BUFFER_BYTES = 4096;   // receive buffer of a streamed answer, held by each open stream
-constexpr int MAX_EVENTS = 256;              // epoll events handled per wait
-constexpr long MAX_IDLE_CONNECTIONS = 512;   // keep-alive connections that one loop caches
-constexpr long IDLE_CONNECTION_SECONDS = 20; // a keep-alive connection idle for longer is not reused
+constexpr int MAX_EVENTS = 256;            // epoll events handled per wait
+constexpr long MAX_IDLE_CONNECTIONS = 512; // keep-alive connections that one loop caches
 
 struct curl_global
 {
@@ -50,132 +46,6 @@
     }
 }
 
-struct transfer
-{
-    transfer_id id = 0;            // key in m_transfers
-    CURL *easy = nullptr;          // owned
-    curl_slist *headers = nullptr; // owned
-    http_request request;          // owns the body, which libcurl does not copy
-    transfer_handler handler;      // callbacks of the transfer
-    http_result result;            // filled while the transfer runs
-    bool headComplete = false;     // the head of the last response was received to its end
-    steady_time lastByte;          // time of the last received byte
-    timer_id idleTimer = 0;        // enforces request.idleTimeout
-    timer_id totalTimer = 0;       // enforces request.totalTimeout
-    bool aborted = false;          // callbacks are suppressed; removed at the end of the loop iteration
-
-    ~transfer()
-    {
-        curl_easy_cleanup(easy);
-        curl_slist_free_all(headers);
-    }
-};
-
-long statusOf(CURL *easy)
-{
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    return status;
-}
-
-// Makes room for so many more bytes of the body. Returns false if the handler does not allow it.
-bool growBody(transfer &one, std::size_t bytes)
-{
-    std::string &body = one.result.body;
-    const std::size_t wanted = body.size() + bytes;
-    if (!one.handler.mayGrow || wanted <= body.capacity()) {
-        return true;
-    }
-    const std::size_t capacity = std::max(wanted, std::min(2 * body.capacity(), one.request.maxBodyBytes));
-    if (!one.handler.mayGrow(capacity - body.capacity())) {
-        return false;
-    }
-    std::string grown; // reserve() of a string in use may allocate more than it is asked for
-    grown.reserve(capacity);
-    grown.append(body);
-    body.swap(grown);
-    return true;
-}
-
-size_t writeBody(char *data, size_t size, size_t count, void *user)
-{
-    auto *self = static_cast<transfer *>(user);
-    const std::string_view piece(data, size * count);
-    if (self->aborted) {
-        return piece.size();
-    }
-    self->lastByte = std::chrono::steady_clock::now();
-    const long status = statusOf(self->easy);
-    if (self->handler.onData && status >= 200 && status < 300) {
-        self->handler.onData(static_cast<int>(status), piece);
-        return piece.size();
-    }
-    if (self->result.body.size() + piece.size() > self->request.maxBodyBytes) {
-        return 0; // libcurl then ends the transfer with an error
-    }
-    if (!growBody(*self, piece.size())) {
-        return 0;
-    }
-    self->result.body.append(piece);
-    return piece.size();
-}
-
-// Why the exchange did not complete; empty if it did. libcurl takes the end of the connection within a head for the end of the response.
-std::string findError(const transfer &one, CURLcode code, int status)
-{
-    if (code != CURLE_OK) {
-        return curl_easy_strerror(code);
-    }
-    if (!one.headComplete) {
-        return "the connection ended within the head of the response";
-    }
-    return classifyStatus(status) == status_kind::final ? std::string() : "invalid status " + std::to_string(status);
-}
-
-// Notes where the head of a response begins and ends. No line of a trailer looks like the first one of a head.
-void trackHead(transfer &one, std::string_view line)
-{
-    if (line.starts_with("HTTP/")) { // also behind an interim response
-        one.headComplete = false;
-    } else if (line == "\r\n" || line == "\n") {
-        one.headComplete = true;
-    }
-}
-
-// Returns the trimmed value if the line is the named header, else an empty view.
-std::string_view headerValue(std::string_view line, std::string_view name)
-{
-    if (line.size() <= name.size() || line[name.size()] != ':' || strncasecmp(line.data(), name.data(), name.size()) != 0) {
-        return {};
-    }
-    line.remove_prefix(name.size() + 1);
-    const auto first = line.find_first_not_of(" \t");
-    const auto last = line.find_last_not_of(" \t\r\n");
-    return first == std::string_view::npos || last == std::string_view::npos ? std::string_view() : line.substr(first, last - first + 1);
-}
-
-size_t readHeader(char *data, size_t size, size_t count, void *user)
-{
-    auto *self = static_cast<transfer *>(user);
-    const std::string_view line(data, size * count);
-    self->lastByte = std::chrono::steady_clock::now();
-    trackHead(*self, line);
-    if (const auto value = headerValue(line, "Retry-After"); !value.empty()) {
-        self->result.retryAfter = milliseconds(static_cast<long>(std::strtod(std::string(value).c_str(), nullptr) * 1000));
-    }
-    if (const auto value = headerValue(line, "Chestnutgw-Verdict"); !value.empty()) {
-        self->result.verdictHeader = value;
-    }
-    if (const auto value = headerValue(line, "Content-Type"); !value.empty()) {
-        self->result.contentType = value;
-    }
-    const std::string &reported = self->request.reportedHeader;
-    if (const auto value = reported.empty() ? std::string_view() : headerValue(line, reported); !value.empty()) {
-        self->result.reportedValues.emplace_back(value);
-    }
-    return line.size();
-}
-
 }
 
 class event_loop::implementation
@@ -205,7 +75,6 @@
     void handleSocket(int socket, int events);
     void addStarted();
     void checkIdleTimeout(transfer_id id);
-    void setOptions(transfer &one);
 
     unique_fd m_epoll;
     unique_fd m_wakeup;
@@ -219,8 +88,8 @@
     steady_time m_polledAt = std::chrono::steady_clock::now(); // what had arrived by then has been handled when timers run
     timer_id m_curlTimer = 0;
     bool m_curlDue = false;
-    std::unordered_map<transfer_id, std::unique_ptr<transfer>> m_transfers;
-    std::vector<std::unique_ptr<transfer>> m_aborted;
+    std::unordered_map<transfer_id, std::unique_ptr<http_transfer>> m_transfers;
+    std::vector<std::unique_ptr<http_transfer>> m_aborted;
     std::vector<transfer_id> m_started; // inside a callback of libcurl, not passed to it yet
     bool m_inCurl = false;              // libcurl is running and may call back
     std::thread m_thread;
@@ -308,49 +177,17 @@
 // Transfers
 //-----------------------------------------------------------------------------
 
-void event_loop::implementation::setOptions(transfer &one)
-{
-    const http_request &request = one.request;
-    CURL *easy = one.easy;
-    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
-    }
-    one.headers = curl_slist_append(one.headers, "Expect:"); // avoids the round trip of "Expect: 100-continue"
-    for (const std::string &header : request.headers) {
-        one.headers = curl_slist_append(one.headers, header.c_str());
-    }
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, one.headers);
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    if (one.handler.onData) {
-        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, STREAM_BUFFER_BYTES);
-    }
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_SECONDS);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connectTimeout.count()));
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.singleUse ? 1L : 0L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.singleUse ? 1L : 0L);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, writeBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &one);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, readHeader);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &one);
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, &one);
-}
-
 transfer_id event_loop::implementation::start(http_request request, transfer_handler handler)
 {
-    auto one = std::make_unique<transfer>();
+    auto one = std::make_unique<http_transfer>();
     const transfer_id id = m_nextId++;
     one->id = id;
     one->easy = curl_easy_init();
     one->request = std::move(request);
     one->handler = std::move(handler);
     one->lastByte = std::chrono::steady_clock::now();
-    setOptions(*one);
-    transfer &placed = *one;
+    applyOptions(*one);
+    http_transfer &placed = *one;
     m_transfers[id] = std::move(one);
     m_started.push_back(id);
     if (!m_inCurl) {
@@ -393,7 +230,7 @@
     if (found == m_transfers.end()) {
         return;
     }
-    transfer &one = *found->second;
+    http_transfer &one = *found->second;
     const auto deadline = one.lastByte + one.request.idleTimeout;
     if (m_polledAt >= deadline) {
         one.idleTimer = 0;
@@ -420,7 +257,7 @@
 
 void event_loop::implementation::removeAborted()
 {
-    const std::vector<std::unique_ptr<transfer>> aborted = std::move(m_aborted);
+    const std::vector<std::unique_ptr<http_transfer>> aborted = std::move(m_aborted);
     m_aborted.clear();
     for (const auto &one : aborted) {
         curl_multi_remove_handle(m_multi, one->easy);
@@ -433,23 +270,11 @@
     if (found == m_transfers.end()) {
         return;
     }
-    const std::unique_ptr<transfer> one = std::move(found->second);
+    const std::unique_ptr<http_transfer> one = std::move(found->second);
     m_transfers.erase(found);
     cancel(one->idleTimer);
     cancel(one->totalTimer);
-    const int status = static_cast<int>(statusOf(one->easy));
-    curl_off_t connectTime = 0;
-    curl_easy_getinfo(one->easy, CURLINFO_CONNECT_TIME_T, &connectTime);
-    long connects = 0;
-    curl_easy_getinfo(one->easy, CURLINFO_NUM_CONNECTS, &connects);
-    // A reused connection reports no new connect, although it was established.
-    one->result.connected = connectTime > 0 || status != 0 || (connects == 0 && code != CURLE_COULDNT_CONNECT);
-    one->result.timedOut = code == CURLE_OPERATION_TIMEDOUT;
-    curl_off_t firstByteTime = 0;
-    curl_easy_getinfo(one->easy, CURLINFO_STARTTRANSFER_TIME_T, &firstByteTime);
-    one->result.responded = firstByteTime > 0 && code != CURLE_GOT_NOTHING; // libcurl also notes the time of an end without data
-    one->result.error = findError(*one, code, status);
-    one->result.status = one->headComplete && classifyStatus(status) == status_kind::final ? status : 0;
+    fillResult(*one, code);
     curl_multi_remove_handle(m_multi, one->easy);
     if (one->handler.onDone) {
         one->handler.onDone(std::move(one->result));
@@ -463,7 +288,7 @@
         if (message->msg != CURLMSG_DONE) {
             continue;
         }
-        transfer *one = nullptr;
+        http_transfer *one = nullptr;
         const CURLcode code = message->data.result;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &one);
         finish(one->id, code);
