--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -53,6 +53,7 @@
     using request_parser = http::request_parser<http::string_body>;
 
     static constexpr std::size_t READ_BYTES = 4096;
+    static constexpr milliseconds BUFFER_RETRY{500}; // Retry-After if incomplete messages take too much memory: most have ended by then
 
     // Waits for the first data of the next request. False if the connection is to be closed.
     asio::awaitable<bool> awaitRequest();
