A late answer to another request does not count as the server's answer to this one

A late answer is read and refused too.

Why it works: an exchange counts as answered once it has taken an answer for the one to its request, or seen an invalid status.

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -287,6 +287,7 @@
         storeHead();
         const status_kind kind = classifyStatus(m_head.status);
         if (kind == status_kind::invalid || (kind == status_kind::interim && announcesBody())) {
+            m_answered = true;
             m_error = "invalid status " + std::to_string(m_head.status);
             co_return exchange_status::broken;
         }
@@ -298,6 +299,7 @@
             co_return exchange_status::broken; // may be a late answer to an earlier request on this connection
         }
         if (echoed.empty() || echoed == m_requestId) {
+            m_answered = true;
             setReuseDeadline();
             co_return exchange_status::ok;
         }
@@ -334,7 +336,6 @@
 void upstream_exchange::storeHead()
 {
     const auto &message = m_parser->get();
-    m_answered = true;
     m_head = {};
     m_head.status = static_cast<int>(message.result_int());
     m_head.endsWithConnection = m_parser->need_eof();
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -159,7 +159,7 @@
     {
         return m_connection && m_connection->reused;
     }
-    // True once the head of an answer was read, whatever its status.
+    // True once the server has answered the request, whatever the status. Late answers to other requests do not count.
     bool answered() const
     {
         return m_answered;
@@ -202,7 +202,7 @@
     answer_head m_head;
     std::string m_error;
     bool m_sent = false;
-    bool m_answered = false;
+    bool m_answered = false; // see answered()
     bool m_complete = false; // the answer was read completely
     bool m_aborted = false;
     bool m_noBody = false;
