A test keeps the status that it goes through

Callers saw: nothing. "a leaving engine gets no new work ..." went through a list that belonged to a temporary value, which had been freed.

Cause: the range of a for statement keeps a temporary alive, not the one that this temporary is a part of.

Evidence: AddressSanitizer, heap-use-after-free in that test, in a run of the group "failure" with; the run ended there. It reported nothing else in the 217 tests before, nor in the processes that they start.

Why it works: the value has a name. The check is the same.

Result: the test passed.

--- a/tests/pipeline_failure_test.cpp
+++ b/tests/pipeline_failure_test.cpp
@@ -130,7 +130,8 @@
     all.engine(0, 2).setFaults({{"leaving", true}});
     REQUIRE(eventually([&] {
         for (int entry = 0; entry < 3; ++entry) {
-            for (const auto &server : all.status(entry)["servers"]) {
+            const nlohmann::json status = all.status(entry);
+            for (const auto &server : status["servers"]) {
                 if (server["server"] == "s0-2" && server["usable"] == true) {
                     return false;
                 }
