Tests of pauses and stops do not depend on how long a sleep takes

Cause: "a stream that arrives late in a stop is answered ..." sent a fixed deadline after a sleep; a sleep that takes half a second more moves that deadline behind the end, and the verdict with it. "a second stop signal ..." slept in place of asking whether the first signal had been handled. Change: the deadline is a point in time counted from the signal; the second signal follows when the instance says that it is not ready. How long a process is paused, or how late in a stop a request comes, is what the other tests are about: they wait until that time.

--- a/tests/gateway_pause_test.cpp
+++ b/tests/gateway_pause_test.cpp
@@ -5,7 +5,6 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -52,7 +51,7 @@
     constexpr milliseconds GRACE{5000};
     constexpr milliseconds WORK{300}; // of the server for a request
     scripted_server server([&](raw_connection &out, const raw_request &in) {
-        std::this_thread::sleep_for(WORK);
+        out.waitForClose(static_cast<int>(WORK.count()));
         out.write(answer(in, "hello"));
         return true;
     });
@@ -64,7 +63,7 @@
     gateway.signal(SIGSTOP);
     const steady_time asked = std::chrono::steady_clock::now();
     gateway.signal(SIGTERM);
-    std::this_thread::sleep_for(PAUSE);
+    waitUntil(asked + PAUSE);
     gateway.signal(SIGCONT);
     int lost = 0;
     int next = 0;
@@ -93,8 +92,7 @@
     const std::string front = site.front();
     site.gateways[0]->signal(SIGSTOP);
     site.publish(2, {{"Tenants", {{{"Name", "t1"}, {"ApiKeys", {"key1"}}}}}});
-    const steady_time end = std::chrono::steady_clock::now() + PAUSE;
-    REQUIRE(eventually([&] { return std::chrono::steady_clock::now() >= end; }));
+    waitUntil(std::chrono::steady_clock::now() + PAUSE);
     raw_client client(front);
     client.write(makeRequest("/once/", "id2", "Connection: close\r\n", "", "key2"));
     site.gateways[0]->signal(SIGCONT);
--- a/tests/gateway_stop_test.cpp
+++ b/tests/gateway_stop_test.cpp
@@ -4,7 +4,6 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <thread>
 
 using namespace chestnut;
 using namespace chestnut::test;
@@ -12,9 +11,10 @@
 namespace
 {
 
-constexpr milliseconds LATE{3200};     // after SIGTERM: the load balancer sends no new clients any more
-constexpr milliseconds EVENT_GAP{150}; // of the slow server
-constexpr int SLOW_LAST_EVENT = 59;    // 9 s, longer than the grace period
+constexpr milliseconds LATE{3200};       // after SIGTERM: the load balancer sends no new clients any more
+constexpr milliseconds BEFORE_END{7000}; // after SIGTERM: less than the usual grace period
+constexpr milliseconds EVENT_GAP{150};   // of the slow server
+constexpr int SLOW_LAST_EVENT = 59;      // 9 s, longer than the grace period
 constexpr int SHORT_LAST_EVENT = 5;
 constexpr int STREAM_LIMIT_MS = 9000;
 
@@ -50,10 +50,11 @@
     };
 }
 
-std::string withDeadline(std::string request, int ms)
+std::string withDeadline(std::string request, steady_time deadline)
 {
     const std::string usual = "X-Chestnutgw-Deadline-Ms: 6000";
-    return request.replace(request.find(usual), usual.size(), "X-Chestnutgw-Deadline-Ms: " + std::to_string(ms));
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline - std::chrono::steady_clock::now());
+    return request.replace(request.find(usual), usual.size(), "X-Chestnutgw-Deadline-Ms: " + std::to_string(left.count()));
 }
 
 }
@@ -69,8 +70,9 @@
     raw_client client(site.front());
     client.write(makeRequest("/stream/", "first"));
     REQUIRE(client.readUntil("piece1").find("Connection: keep-alive") != std::string::npos);
+    const steady_time asked = std::chrono::steady_clock::now();
     site.gateways[0]->signal(SIGTERM);
-    std::this_thread::sleep_for(LATE);
+    waitUntil(asked + LATE);
     go = true;
     CHECK(client.readUntil("0\r\n\r\n").find("piece5") != std::string::npos);
     const int before = server.count();
@@ -92,12 +94,13 @@
     raw_client client(site.front());
     client.write(makeRequest("/stream/", "first"));
     REQUIRE(client.readUntil("piece1").find("Connection: keep-alive") != std::string::npos);
+    const steady_time asked = std::chrono::steady_clock::now();
     site.gateways[0]->signal(SIGTERM);
-    std::this_thread::sleep_for(LATE);
+    waitUntil(asked + LATE);
     go = true;
     const std::string first = client.readUntil("0\r\n\r\n");
     CHECK(first.find("piece5") != std::string::npos);
-    client.write(withDeadline(makeRequest("/stream/", "second"), 3800));
+    client.write(withDeadline(makeRequest("/stream/", "second"), asked + BEFORE_END));
     const std::string both = client.readUntil("\x01never", STREAM_LIMIT_MS);
     CHECK(isWholeStream(both.substr(first.size()), SHORT_LAST_EVENT));
     CHECK(site.gateways[0]->wait() == 0);
@@ -115,10 +118,10 @@
     client.write(makeRequest("/stream/", "first"));
     client.readUntil("piece1");
     site.gateways[0]->signal(SIGTERM);
-    std::this_thread::sleep_for(milliseconds(300));
+    REQUIRE(eventually([&] { return site.readyStatus() == 503; })); // it has handled the signal
     site.gateways[0]->signal(SIGTERM);
     site.gateways[0]->signal(SIGHUP);
-    std::this_thread::sleep_for(milliseconds(300));
+    REQUIRE(site.readyStatus() == 503); // it has handled the signals before this check, which came later
     go = true;
     CHECK(isWholeStream(client.readUntil("0\r\n\r\n", STREAM_LIMIT_MS), SHORT_LAST_EVENT));
     CHECK(site.gateways[0]->wait() == 0);
--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -261,6 +261,11 @@
     return eventually(condition, HANG_LIMIT);
 }
 
+void waitUntil(steady_time time)
+{
+    eventually([&] { return std::chrono::steady_clock::now() >= time; });
+}
+
 bool eventually(const std::function<bool()> &condition, milliseconds limit)
 {
     const steady_time end = std::chrono::steady_clock::now() + limit;
--- a/tests/process.h
+++ b/tests/process.h
@@ -88,5 +88,7 @@
 // Polls until the condition holds. Returns false after a limit that only a hang exceeds, or after the one given.
 bool eventually(const std::function<bool()> &condition);
 bool eventually(const std::function<bool()> &condition, milliseconds limit);
+// Waits until that time, for tests whose subject is how long something has lasted.
+void waitUntil(steady_time time);
 
 }
