What an opening attempt has read is judged apart from reading it

Change: judgeFirstPiece() and judgeEmptyAnswer() decide without input or output; stepResult(); rejectHead() with an error text for each case; callOnLoop(). No change of what callers get.

--- a/src/gateway/generation_flow.h
+++ b/src/gateway/generation_flow.h
@@ -55,8 +55,10 @@
     // Reads until the first event, of an attempt that continues a stream until the first event that has an id. Until then another server
     // can still take over, so comments are kept too.
     asio::awaitable<opening_state> readFirstEvent(stream_attempt &attempt, upstream_exchange &exchange);
+    // Takes a piece of the answer. `pending` if the first event is not complete yet.
+    opening_state judgeFirstPiece(stream_attempt &attempt, const upstream_exchange &exchange, const std::string &piece);
     // For an answer that ends before its first event.
-    opening_state openWithoutEvent(const stream_attempt &attempt, const upstream_exchange &exchange);
+    opening_state judgeEmptyAnswer(const stream_attempt &attempt, const upstream_exchange &exchange);
     // Counts and logs why an answer does not continue the stream that the client has received a part of. Returns `broken`.
     opening_state rejectContinuation(const stream_attempt &attempt, const upstream_exchange &exchange, const char *reason);
     // Waits until the attempt is open, and forwards its answer.
--- a/src/gateway/generation_opening.cpp
+++ b/src/gateway/generation_opening.cpp
@@ -141,33 +141,39 @@
 
 asio::awaitable<opening_state> generation_flow::readFirstEvent(stream_attempt &attempt, upstream_exchange &exchange)
 {
-    while (true) {
+    opening_state state = opening_state::pending;
+    while (state == opening_state::pending) {
         std::string piece;
         const exchange_status status = co_await exchange.readPiece(piece, m_facts.deadline);
         if (status != exchange_status::ok) {
             co_return noteBroken(attempt, exchange, status);
         }
-        if (piece.empty()) { // the answer is complete
-            co_return openWithoutEvent(attempt, exchange);
-        }
-        attempt.load->noteTransferred();
-        attempt.lastData = std::chrono::steady_clock::now();
-        attempt.firstEvents += attempt.splitter.feed(piece);
-        if (attempt.splitter.events() > 0 && !attempt.continues) {
-            co_return opening_state::open;
-        }
-        if (const auto first = attempt.splitter.firstId()) { // of a continuation
-            co_return *first > m_lastId.value() ? opening_state::open : rejectContinuation(attempt, exchange, "known_event");
-        }
-        const std::size_t kept = attempt.firstEvents.size() + attempt.splitter.pendingBytes();
-        attempt.buffered.set(attempt.firstEvents.capacity() + attempt.splitter.pendingCapacity());
-        if (kept > MAX_EVENT_BYTES || attempt.buffered.exceeded()) {
-            co_return attempt.continues ? rejectContinuation(attempt, exchange, "too_long") : noteBroken(attempt, exchange, exchange_status::broken);
-        }
+        state = piece.empty() ? judgeEmptyAnswer(attempt, exchange) : judgeFirstPiece(attempt, exchange, piece);
+    }
+    co_return state;
+}
+
+opening_state generation_flow::judgeFirstPiece(stream_attempt &attempt, const upstream_exchange &exchange, const std::string &piece)
+{
+    attempt.load->noteTransferred();
+    attempt.lastData = std::chrono::steady_clock::now();
+    attempt.firstEvents += attempt.splitter.feed(piece);
+    const std::optional<std::uint64_t> firstId = attempt.splitter.firstId();
+    if (attempt.continues && firstId) {
+        return *firstId > m_lastId.value() ? opening_state::open : rejectContinuation(attempt, exchange, "known_event");
+    }
+    if (!attempt.continues && attempt.splitter.events() > 0) {
+        return opening_state::open;
+    }
+    const std::size_t kept = attempt.firstEvents.size() + attempt.splitter.pendingBytes();
+    attempt.buffered.set(attempt.firstEvents.capacity() + attempt.splitter.pendingCapacity());
+    if (kept <= MAX_EVENT_BYTES && !attempt.buffered.exceeded()) {
+        return opening_state::pending;
     }
+    return attempt.continues ? rejectContinuation(attempt, exchange, "too_long") : noteBroken(attempt, exchange, exchange_status::broken);
 }
 
-opening_state generation_flow::openWithoutEvent(const stream_attempt &attempt, const upstream_exchange &exchange)
+opening_state generation_flow::judgeEmptyAnswer(const stream_attempt &attempt, const upstream_exchange &exchange)
 {
     if (attempt.continues) {
         return rejectContinuation(attempt, exchange, "no_event");
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -216,7 +216,7 @@
 }
 
 // Closing a socket does not take back an operation that has completed and whose handler is queued: its step ends as aborted all the same.
-exchange_status upstream_exchange::translate(error_code error)
+exchange_status upstream_exchange::stepResult(error_code error)
 {
     if (error) {
         m_error = error.message();
@@ -269,7 +269,7 @@
     error_code error;
     const std::array<asio::const_buffer, 2> bytes{asio::buffer(head), asio::buffer(body)};
     co_await asio::async_write(m_connection->stream, bytes, into(error));
-    co_return translate(error);
+    co_return stepResult(error);
 }
 
 asio::awaitable<exchange_status> upstream_exchange::readHead(const std::string &idHeader, steady_time until)
@@ -281,15 +281,16 @@
         m_parser->skip(m_noBody);
         m_connection->stream.expires_at(until);
         const error_code error = co_await receiveHead();
-        if (const exchange_status received = translate(error); received != exchange_status::ok) {
+        if (const exchange_status received = stepResult(error); received != exchange_status::ok) {
             co_return received;
         }
         storeHead();
         const status_kind kind = classifyStatus(m_head.status);
-        if (kind == status_kind::invalid || (kind == status_kind::interim && announcesBody())) {
-            m_answered = true;
-            m_error = "invalid status " + std::to_string(m_head.status);
-            co_return exchange_status::broken;
+        if (kind == status_kind::invalid) {
+            co_return rejectHead("invalid status");
+        }
+        if (kind == status_kind::interim && announcesBody()) {
+            co_return rejectHead("interim answer with a body, status");
         }
         if (kind == status_kind::interim) {
             continue;
@@ -349,6 +350,13 @@
     }
 }
 
+exchange_status upstream_exchange::rejectHead(const char *problem)
+{
+    m_answered = true;
+    m_error = std::string(problem) + " " + std::to_string(m_head.status);
+    return exchange_status::broken;
+}
+
 bool upstream_exchange::announcesBody() const
 {
     return m_parser->chunked() || m_parser->content_length().value_or(0) > 0;
@@ -385,11 +393,11 @@
         }
         piece.assign(pieceBuffer.data(), pieceBuffer.size() - body.size);
         if (error) {
-            co_return translate(error);
+            co_return stepResult(error);
         }
     }
     m_complete = m_parser->is_done();
-    co_return translate({});
+    co_return stepResult({});
 }
 
 asio::awaitable<exchange_status> upstream_exchange::readBody(std::string &body, std::size_t limit, steady_time until)
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -186,10 +186,13 @@
 private:
     using head_parser = http::response_parser<http::buffer_body>;
 
-    exchange_status translate(boost::system::error_code error);
+    // Result of a step whose last operation ended with this error.
+    exchange_status stepResult(boost::system::error_code error);
     // Reads until the parser has a whole head.
     asio::awaitable<boost::system::error_code> receiveHead();
     void storeHead();
+    // Notes why the head cannot be used. Returns `broken`.
+    exchange_status rejectHead(const char *problem);
     bool announcesBody() const;
     void setReuseDeadline();
 
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -18,7 +18,7 @@
 
 http_result transferTo(const std::string &address, std::function<void(int, std::string_view)> onData = {})
 {
-    return await<http_result>([&](event_loop &loop, const auto &done) {
+    return callOnLoop<http_result>([&](event_loop &loop, const auto &done) {
         http_request request;
         request.url = "http://" + address + "/";
         request.totalTimeout = milliseconds(3000);
@@ -76,7 +76,7 @@
     const broken_answer answer = GENERATE(from_range(allBroken()));
     CAPTURE(answer.name);
     const scripted_server server(sending(answer));
-    const order_status engineOrder = await<order_status>([&](event_loop &loop, const auto &done) {
+    const order_status engineOrder = callOnLoop<order_status>([&](event_loop &loop, const auto &done) {
         const std::shared_ptr<engine_adapter> engine = plugin_registry<engine_adapter, event_loop &>::instance().make("stages", loop);
         engine->order(server.address(), {1, {}}, [engine, done](order_status status) { done(status); });
     });
@@ -94,7 +94,7 @@
         sent.bytes.replace(at, 6, status);
     }
     const scripted_server server(sending(sent));
-    const append_result appended = await<append_result>([&](event_loop &loop, const auto &done) {
+    const append_result appended = callOnLoop<append_result>([&](event_loop &loop, const auto &done) {
         const std::shared_ptr<log_service> log
             = plugin_registry<log_service, event_loop &, const std::string &>::instance().make("http", loop, "http://" + server.address());
         log->append("claims", {"record"}, [log, done](const append_result &got) { done(got); });
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -32,7 +32,7 @@
 
 // Runs a call on an event loop of its own, and returns the result that it passes to its callback.
 template <typename result>
-result await(const std::function<void(event_loop &, std::function<void(result)>)> &call)
+result callOnLoop(const std::function<void(event_loop &, std::function<void(result)>)> &call)
 {
     event_loop loop("test");
     std::promise<result> done;
--- a/tests/gateway_broken_answer_test.cpp
+++ b/tests/gateway_broken_answer_test.cpp
@@ -31,7 +31,7 @@
     const scripted_server server(sending(answer));
     metrics counters;
     const header_names headerNames = platform::makeHeaderNames();
-    const order_outcome placed = await<order_outcome>([&](event_loop &loop, const auto &done) {
+    const order_outcome placed = callOnLoop<order_outcome>([&](event_loop &loop, const auto &done) {
         const auto calls = std::make_shared<platform::server_calls>(loop, counters, headerNames);
         calls->orderLayers(server.address(), server_id{"i-1"}, {0, 4}, 1, [calls, done](order_outcome outcome) { done(outcome); });
     });
@@ -44,17 +44,17 @@
     const broken_answer answer = GENERATE(from_range(allBroken()));
     CAPTURE(answer.name);
     const scripted_server server(sending(answer));
-    const auto appended = await<platform::append_answer>([&](event_loop &loop, const auto &done) {
+    const auto appended = callOnLoop<platform::append_answer>([&](event_loop &loop, const auto &done) {
         const auto store = std::make_shared<platform::store_client>(storeAt(loop, server.address()));
         store->append("topic", 3, {"record"}, [store, done](const platform::append_answer &got) { done(got); });
     });
     CHECK(appended.status == platform::store_status::unknown);
-    const auto listed = await<platform::newest_answer>([&](event_loop &loop, const auto &done) {
+    const auto listed = callOnLoop<platform::newest_answer>([&](event_loop &loop, const auto &done) {
         const auto store = std::make_shared<platform::store_client>(storeAt(loop, server.address()));
         store->newest("topic", [store, done](const platform::newest_answer &got) { done(got); });
     });
     CHECK(listed.status == platform::store_status::unknown);
-    const auto read = await<platform::read_answer>([&](event_loop &loop, const auto &done) {
+    const auto read = callOnLoop<platform::read_answer>([&](event_loop &loop, const auto &done) {
         const auto store = std::make_shared<platform::store_client>(storeAt(loop, server.address()));
         store->read("topic", 0, milliseconds(0), [store, done](const platform::read_answer &got) { done(got); });
     });
