Logs and metrics that tell why a configuration is late

What operators saw: peer_silent with an error only, so an exchange that failed because of its size looked like a peer that had gone; reads of the store that ended within their body looked like a store that does not answer. No change of logic.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -109,6 +109,7 @@
     grpc::ClientContext context;
     wire::gateway_state request;
     wire::gateway_state reply;
+    steady_time began = std::chrono::steady_clock::now();
 };
 
 // What this instance and a peer have of each other's evidence.
@@ -168,7 +169,8 @@
     void connect(peer_entry &peer) const;
     void take(const wire::gateway_state &message);
     void call(const std::string &instance, peer_entry &peer);
-    void handleReply(const std::string &instance, const grpc::Status &status, const wire::gateway_state &reply);
+    void handleReply(const std::string &instance, const grpc::Status &status, const outgoing_call &one);
+    void countBytes(const char *direction, const wire::gateway_state &message);
     void removeGonePeers(steady_time now);
 
     event_loop &m_loop;
@@ -222,9 +224,11 @@
             reactor->Finish({grpc::StatusCode::UNAVAILABLE, m_started ? "stopping" : "starting"});
             return;
         }
+        countBytes("received", *request);
         take(*request);
         const bool member = clampTo(request->scope(), load_scope::total) == load_scope::member;
         fill(reply, toUpdatePosition(*request), member ? load_scope::total : load_scope::cluster, request->instance());
+        countBytes("sent", *reply);
         reactor->Finish(grpc::Status::OK);
     });
     return reactor;
@@ -406,18 +410,27 @@
     const auto one = std::make_shared<outgoing_call>();
     one->context.set_deadline(std::chrono::system_clock::now() + EXCHANGE_TIMEOUT);
     fill(&one->request, peer.position, m_relay ? load_scope::cluster : load_scope::member, instance);
+    countBytes("sent", one->request);
     ++m_pendingCalls;
     peer.stub->async()->exchange(&one->context, &one->request, &one->reply, [this, one, instance](const grpc::Status &status) {
         m_loop.post([this, one, instance, status, alive = m_alive] {
             if (*alive) {
-                handleReply(instance, status, one->reply);
+                handleReply(instance, status, *one);
             }
         });
         --m_pendingCalls;
     });
 }
 
-void mesh_node::implementation::handleReply(const std::string &instance, const grpc::Status &status, const wire::gateway_state &reply)
+// Counts updates apart from the rest of a state: only they grow with what the receiver lacks.
+void mesh_node::implementation::countBytes(const char *direction, const wire::gateway_state &message)
+{
+    const std::size_t updates = message.news().size();
+    m_counters.count("peer_bytes", {{"direction", direction}, {"content", "state"}}, static_cast<double>(message.ByteSizeLong() - updates));
+    m_counters.count("peer_bytes", {{"direction", direction}, {"content", "updates"}}, static_cast<double>(updates));
+}
+
+void mesh_node::implementation::handleReply(const std::string &instance, const grpc::Status &status, const outgoing_call &one)
 {
     const auto peer = m_peers.find(instance);
     if (peer == m_peers.end()) {
@@ -432,10 +445,16 @@
     }
     if (status.ok() == peer->second.failing) {
         peer->second.failing = !status.ok();
-        logLine(log_level::info, status.ok() ? "peer_back" : "peer_silent", {{"peer", instance}, {"error", status.error_message()}});
+        logLine(log_level::info, status.ok() ? "peer_back" : "peer_silent",
+                {{"peer", instance},
+                 {"error", status.error_message()},
+                 {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - one.began).count())},
+                 {"request_bytes", std::to_string(one.request.ByteSizeLong())},
+                 {"update_bytes", std::to_string(one.request.news().size())}});
     }
     if (status.ok()) {
-        take(reply);
+        countBytes("received", one.reply);
+        take(one.reply);
     }
 }
 
