--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -9,12 +9,14 @@
 namespace chestnut
 {
 
-const setting_row<gateway_settings> GATEWAY_SETTINGS[25] = {
+const setting_row<gateway_settings> GATEWAY_SETTINGS[26] = {
     {"instance.name", &gateway_settings::name, 1, 100, "text", "instance name, unique in the deployment"},
     {"instance.failure_domain", &gateway_settings::failureDomain, 1, 100, "text", "failure domain of this instance"},
     {"instance.front", &gateway_settings::frontAddress, 9, 21, "IP:port", "address for clients"},
     {"instance.ready", &gateway_settings::readyAddress, 9, 21, "IP:port", "address for readiness checks"},
     {"instance.peer", &gateway_settings::peerAddress, 9, 21, "IP:port", "address for the other instances"},
+    {"instance.peer_advertised", &gateway_settings::peerAdvertisedAddress, 0, 21, "IP:port",
+     "address that the other instances call, if it differs from instance.peer; empty: it does not"},
     {"instance.metrics", &gateway_settings::metricsAddress, 9, 21, "IP:port", "address for metrics"},
     {"instance.memory", &gateway_settings::memoryMb, 0, 1e6, "MB", "memory that the instance may use; 0: what the system reports"},
     {"instance.descriptors", &gateway_settings::descriptors, 0, 1e6, "descriptors",
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -16,7 +16,8 @@
     std::string failureDomain = "local";           // failure domain of this instance
     std::string frontAddress = "127.0.0.1:8080";   // IP:port that clients connect to
     std::string readyAddress = "127.0.0.1:8081";   // IP:port for readiness checks
-    std::string peerAddress = "127.0.0.1:7340";    // IP:port that other instances connect to
+    std::string peerAddress = "127.0.0.1:7340";    // IP:port that the service for other instances listens on
+    std::string peerAdvertisedAddress;             // IP:port that other instances call, empty = peerAddress
     std::string metricsAddress = "127.0.0.1:9464"; // IP:port for metrics
     int memoryMb = 0;                              // memory that the instance may use, 0 = what the system reports
     int descriptors = 0;                           // file descriptors that the instance may use, 0 = the limit of the process
@@ -48,7 +49,7 @@
     std::size_t descriptorLimit() const;
 };
 
-extern const setting_row<gateway_settings> GATEWAY_SETTINGS[25];
+extern const setting_row<gateway_settings> GATEWAY_SETTINGS[26];
 
 // Throws settings_error if the platform's URL is missing or a log setting is not an allowed word.
 void checkSettings(const gateway_settings &settings);
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -54,9 +54,10 @@
         , m_state(m_context, settings, m_counters, *m_port)
         , m_front(m_state)
         , m_plane(m_control, *m_port, m_counters, settings, planeHandler())
-        , m_mesh(std::make_unique<mesh_node>(
-              m_control, m_counters, mesh_settings{settings.name, settings.failureDomain, settings.peerAddress, static_cast<std::uint64_t>(wallClockMs())},
-              meshHandler()))
+        , m_mesh(std::make_unique<mesh_node>(m_control, m_counters,
+                                             mesh_settings{settings.name, settings.failureDomain, settings.peerAddress, settings.peerAdvertisedAddress,
+                                                           static_cast<std::uint64_t>(wallClockMs())},
+                                             meshHandler()))
         , m_operators(metricsOptions(settings.metricsAddress), [this](const std::shared_ptr<http_call> &call) { answerOperator(call, m_state); })
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_drainTimer(m_context)
@@ -199,7 +200,7 @@
 void gateway_process::joinMesh()
 {
     m_control.post([this] {
-        const member_entry self{m_state.settings.name, m_state.settings.failureDomain, m_mesh->address()};
+        const member_entry self{m_state.settings.name, m_state.settings.failureDomain, m_mesh->advertisedAddress()};
         m_port->announce(self, [this](const member_entry &member) {
             m_mesh->addPeer(member);
             asio::post(m_context, [this, instance = member.instance] {
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -159,6 +159,10 @@
     {
         return m_settings.address;
     }
+    const std::string &advertisedAddress() const
+    {
+        return m_settings.advertisedAddress;
+    }
 
 private:
     void round();
@@ -204,6 +208,9 @@
         throw std::runtime_error("peer service cannot listen on " + settings.address);
     }
     m_settings.address = settings.address.substr(0, settings.address.rfind(':') + 1) + std::to_string(port);
+    if (m_settings.advertisedAddress.empty()) {
+        m_settings.advertisedAddress = m_settings.address;
+    }
 }
 
 mesh_node::implementation::~implementation()
@@ -244,7 +251,7 @@
     own.stopping = m_handler.stopping();
     own.stoppingCount = own.stopping.count() > 0 ? 1 : 0;
     toMessage(m_reports.merged(own, scope, instance_id{receiver}, std::chrono::steady_clock::now()), message);
-    message->set_address(m_settings.address);
+    message->set_address(m_settings.advertisedAddress);
     const update_position position = m_handler.position();
     message->set_config_version(position.configVersion);
     message->set_config_epoch(position.config.epoch.number);
@@ -470,6 +477,11 @@
     return m_impl->address();
 }
 
+const std::string &mesh_node::advertisedAddress() const
+{
+    return m_impl->advertisedAddress();
+}
+
 void mesh_node::start()
 {
     m_impl->start();
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -65,7 +65,8 @@
 {
     std::string instance;
     std::string domain;
-    std::string address;           // IP:port of the peer service
+    std::string address;           // IP:port that the peer service listens on
+    std::string advertisedAddress; // IP:port that peers call, empty = the one that it listens on
     std::uint64_t incarnation = 0; // start time of the process in ms
 };
 
@@ -80,6 +81,8 @@
 
     // IP:port of the peer service, with the actual port if port 0 was requested.
     const std::string &address() const;
+    // IP:port that peers call.
+    const std::string &advertisedAddress() const;
     // Starts the exchange rounds. Loop thread only.
     void start();
     // Adds an instance that exists or has existed. Loop thread only.
--- a/tests/gateway_large_config_test.cpp
+++ b/tests/gateway_large_config_test.cpp
@@ -1,6 +1,7 @@
 // Tests chestnutgw-gateway with large configurations that several instances must apply at the same time.
 
 #include "gateway_deployment.h"
+#include "soak/link.h"
 
 #include <catch2/catch.hpp>
 
@@ -23,11 +24,18 @@
     eventually([] { return false; }, time);
 }
 
-json largeConfig(const std::string &newKey)
+constexpr int REFUSED_INSTANCES = 4;          // by the store
+constexpr int SERVED_INSTANCES = 2;           // by the store
+constexpr milliseconds SLOW_APPLY_TIME{3000}; // from the acknowledgement of a version until it is in force everywhere, slow links included
+constexpr int KEYS_FOR_SLOW_LINKS = 2000;     // make a version about 80 kB long
+constexpr milliseconds SQUEEZE_TIME{120'000}; // longer than the test
+constexpr const char *UNKNOWN_TARGET = "127.0.0.1:1";
+
+json largeConfig(const std::string &newKey, int unusedKeys = UNUSED_KEYS)
 {
     json keys = json::array({"key1", newKey});
     std::uint32_t state = 1;
-    for (int number = 0; number < UNUSED_KEYS; ++number) {
+    for (int number = 0; number < unusedKeys; ++number) {
         state = state * 1664525 + 1013904223;
         keys.push_back("unused-" + std::to_string(state) + "-" + std::to_string(state >> 7) + "-" + std::to_string(number));
     }
@@ -60,3 +68,28 @@
         CHECK(statusOf(exchange(site.front(gateway), makeRequest("/safe/", "id" + std::to_string(gateway), "Connection: close\r\n", "", newest))) == 200);
     }
 }
+
+TEST_CASE("a large configuration is in force in time at instances that the store refuses and that slow links connect", "[failure]")
+{
+    scripted_server server(answering("hello"));
+    soak::link_network links;
+    deployment site(2);
+    site.addServer("i-1", "app", server.address());
+    site.publish(1);
+    for (int number = 0; number < SERVED_INSTANCES + REFUSED_INSTANCES; ++number) {
+        const std::string link = links.add(UNKNOWN_TARGET);
+        const child_process &gateway = site.startGateway("g" + std::to_string(number), number < SERVED_INSTANCES ? 0 : 1, {"instance.peer_advertised=" + link});
+        links.retarget(link, gateway.listening().at("peer"));
+        links.disturb(link, soak::link_fault::squeeze, SQUEEZE_TIME);
+    }
+    for (std::size_t gateway = 0; gateway < site.gateways.size(); ++gateway) {
+        REQUIRE(eventually([&] { return site.readyStatus(gateway) == 200; }));
+    }
+    site.store.setFault(1, platform::store_fault::reset);
+    site.publish(10, largeConfig("new", KEYS_FOR_SLOW_LINKS));
+    wait(SLOW_APPLY_TIME);
+    for (std::size_t gateway = 0; gateway < site.gateways.size(); ++gateway) {
+        CAPTURE(gateway);
+        CHECK(statusOf(exchange(site.front(gateway), makeRequest("/safe/", "id" + std::to_string(gateway), "Connection: close\r\n", "", "new"))) == 200);
+    }
+}
