Conversions of states between instances have a file of their own

mesh_node.cpp held the conversions to and from messages beside the service and the rounds. They move to mesh/state_message, and the position of an instance to mesh/update_position.h, which the transfer of updates will need without the node. No change of behaviour: the code is the same, the time of a report is an argument now.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -1,4 +1,4 @@
-// Sections: conversions, service, rounds.
+// Sections: service, rounds.
 
 #include "mesh/mesh_node.h"
 
@@ -6,9 +6,9 @@
 #include "gateway_peer.grpc.pb.h"
 #include "kernel/log.h"
 #include "mesh/evidence_message.h"
+#include "mesh/state_message.h"
 
 #include <atomic>
-#include <cmath>
 #include <grpcpp/grpcpp.h>
 #include <map>
 #include <thread>
@@ -28,81 +28,8 @@
 constexpr milliseconds MISSED_CALL_DELAY{1000};    // a relay that should call but has not for this long is called instead
 constexpr milliseconds DOWN_PERIOD{2500};          // a peer that did not answer counts as down for this long
 constexpr milliseconds ISOLATED_AFTER{2000};       // without a state of any peer, an instance acts as if it were the first one
-constexpr std::uint32_t MAX_RUNNING = 1'000'000;   // requests of one peer at one server
 constexpr milliseconds PEER_REMOVAL_DELAY{60'000}; // a peer that has failed for this long is removed
 
-//-----------------------------------------------------------------------------
-// Conversions
-//-----------------------------------------------------------------------------
-
-void toMessage(const peer_report &report, wire::gateway_state *message)
-{
-    message->set_instance(report.instance.text);
-    message->set_failure_domain(report.domain.text);
-    message->set_incarnation(report.incarnation);
-    message->set_stopping_ms(static_cast<std::uint32_t>(report.stopping.count()));
-    message->set_scope(static_cast<std::uint32_t>(report.scope));
-    message->set_instances(static_cast<std::uint32_t>(report.instances));
-    message->set_stopping(static_cast<std::uint32_t>(report.stoppingCount));
-    for (const server_load &load : report.loads) {
-        wire::server_load *entry = message->add_loads();
-        entry->set_address(load.address);
-        entry->set_running(static_cast<std::uint32_t>(load.running));
-        entry->set_tokens(load.tokens);
-        entry->set_avoid_ms(static_cast<std::uint32_t>(load.avoid.count()));
-        entry->set_failure(static_cast<std::uint32_t>(load.failure));
-    }
-}
-
-void toMessage(const confirmation &one, wire::confirmation *message)
-{
-    message->set_origin(one.origin);
-    message->set_number(one.number);
-    message->set_age_ms(static_cast<std::uint32_t>(one.age.count()));
-}
-
-confirmation toConfirmation(const wire::confirmation &message)
-{
-    return {message.origin(), message.number(), milliseconds(message.age_ms())};
-}
-
-update_position toUpdatePosition(const wire::gateway_state &message)
-{
-    return {message.config_version(),
-            {{message.config_epoch()}, message.config_offset()},
-            {{message.fleet_epoch()}, message.fleet_offset()},
-            {{message.member_epoch()}, message.member_offset()},
-            message.wants_config()};
-}
-
-// Clamps a received number to the range of an enumeration.
-template <typename enumeration>
-enumeration clampTo(std::uint32_t value, enumeration last)
-{
-    return static_cast<enumeration>(std::min(value, static_cast<std::uint32_t>(last)));
-}
-
-peer_report toReport(const wire::gateway_state &message)
-{
-    peer_report report;
-    report.instance = instance_id{message.instance()};
-    report.domain = domain_id{message.failure_domain()};
-    report.incarnation = message.incarnation();
-    report.received = std::chrono::steady_clock::now();
-    report.stopping = milliseconds(message.stopping_ms());
-    report.scope = clampTo(message.scope(), load_scope::total);
-    report.instances = static_cast<int>(message.instances());
-    report.stoppingCount = static_cast<int>(message.stopping());
-    for (const wire::server_load &entry : message.loads()) {
-        if (!std::isfinite(entry.tokens()) || entry.running() > MAX_RUNNING) {
-            continue; // would spoil the sums over all peers
-        }
-        report.loads.push_back({entry.address(), static_cast<int>(entry.running()), entry.tokens(), milliseconds(entry.avoid_ms()),
-                                clampTo(entry.failure(), failure_kind::stage_refused)});
-    }
-    return report;
-}
-
 // An outgoing call, kept alive until its callback has run.
 struct outgoing_call
 {
@@ -233,7 +160,7 @@
         }
         countBytes("received", *request);
         take(*request);
-        const bool member = clampTo(request->scope(), load_scope::total) == load_scope::member;
+        const bool member = scopeOf(*request) == load_scope::member;
         fill(reply, toUpdatePosition(*request), member ? load_scope::total : load_scope::cluster, request->instance());
         countBytes("sent", *reply);
         reactor->Finish(grpc::Status::OK);
@@ -253,14 +180,7 @@
     toMessage(m_reports.merged(own, scope, instance_id{receiver}, std::chrono::steady_clock::now()), message);
     message->set_address(m_settings.advertisedAddress);
     const update_position position = m_handler.position();
-    message->set_config_version(position.configVersion);
-    message->set_config_epoch(position.config.epoch.number);
-    message->set_config_offset(position.config.offset);
-    message->set_fleet_epoch(position.fleet.epoch.number);
-    message->set_fleet_offset(position.fleet.offset);
-    message->set_member_epoch(position.members.epoch.number);
-    message->set_member_offset(position.members.offset);
-    message->set_wants_config(position.wantsConfig);
+    toMessage(position, message);
     const peer_confirmations known = m_handler.confirmations();
     toMessage(known.config, message->mutable_config_confirmation());
     toMessage(known.fleet, message->mutable_fleet_confirmation());
@@ -310,7 +230,7 @@
     peer->second.lastReceived = std::chrono::steady_clock::now();
     peer->second.downUntil = {};
     m_lastReceived = peer->second.lastReceived;
-    peer_report report = toReport(message);
+    peer_report report = toReport(message, peer->second.lastReceived);
     m_reports.take(report);
     m_handler.onReport(std::move(report));
     if (!message.news().empty()) {
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -6,10 +6,10 @@
 #include "core/confirmation_clock.h"
 #include "core/coordinator_lease.h"
 #include "core/crash_evidence.h"
-#include "core/log_position.h"
 #include "core/shared_load.h"
 #include "kernel/event_loop.h"
 #include "kernel/metrics.h"
+#include "mesh/update_position.h"
 
 #include <functional>
 #include <memory>
@@ -18,16 +18,6 @@
 namespace chestnut
 {
 
-// Version and positions up to which an instance has the updates of the platform.
-struct update_position
-{
-    std::uint64_t configVersion = 0;
-    log_position config;
-    log_position fleet;
-    log_position members;
-    bool wantsConfig = false; // cannot read the configuration from the platform itself
-};
-
 // Newest confirmations that this or any other instance got.
 struct peer_confirmations
 {
