Large updates travel in parts that the receiver reads, apart from the states of instances

Cause: an instance that could not read the store asked its peers for the configuration, and each partner put the whole text (345 KB with 1,549 routes) into each exchange until a state with the new version had come back. An exchange ends after 400 ms whatever it has carried, so on links of 20 Mbit/s the exchanges failed because of their size, the next ones began anew from the first byte, peers counted as silent, roles changed, and new partners sent the same again, with all servers and instances, since a new partner counted as having nothing. The load came from the missing configuration alone and kept itself up after the store was back: its reads ran out on the same full links. Class: bulk data on the channel of liveness, sent again whole by every sender (a congestion that feeds itself).

An instance that a state shows to be behind reads the rest with read_updates, from one peer at a time, part after part; a part that has arrived is not sent again, and at most one part for each reader is on its way. What a peer lacks is not guessed before its first state.

--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -1,4 +1,4 @@
-// Sections: service, rounds.
+// Sections: service, rounds, reading updates.
 
 #include "mesh/mesh_node.h"
 
@@ -7,10 +7,12 @@
 #include "kernel/log.h"
 #include "mesh/evidence_message.h"
 #include "mesh/state_message.h"
+#include "mesh/update_transfer.h"
 
 #include <atomic>
 #include <grpcpp/grpcpp.h>
 #include <map>
+#include <optional>
 #include <thread>
 
 namespace chestnut
@@ -25,6 +27,7 @@
 constexpr milliseconds PER_PEER_INTERVAL{25}; // lengthens the interval with the number of relays, so that the load of one instance stays constant
 constexpr milliseconds MEMBER_INTERVAL{240};  // time between two exchanges of a member with its relay
 constexpr milliseconds EXCHANGE_TIMEOUT{400};
+constexpr milliseconds PART_TIMEOUT{1000};         // of one part of updates
 constexpr milliseconds MISSED_CALL_DELAY{1000};    // a relay that should call but has not for this long is called instead
 constexpr milliseconds DOWN_PERIOD{2500};          // a peer that did not answer counts as down for this long
 constexpr milliseconds ISOLATED_AFTER{2000};       // without a state of any peer, an instance acts as if it were the first one
@@ -39,6 +42,14 @@
     steady_time began = std::chrono::steady_clock::now();
 };
 
+// An outgoing request for a part of updates, kept alive until its callback has run.
+struct part_call
+{
+    grpc::ClientContext context;
+    wire::updates_request request;
+    wire::updates_part reply;
+};
+
 // What this instance and a peer have of each other's evidence.
 struct evidence_position
 {
@@ -47,6 +58,18 @@
     std::uint64_t known = 0;       // revision of this instance up to which the peer has its evidence
 };
 
+// True if an instance at the first position lacks a configuration that one at the second can pass on.
+bool lacksConfig(const update_position &since, const update_position &position)
+{
+    return position.configVersion > since.configVersion && (since.wantsConfig || position.config > since.config);
+}
+
+// The same for any updates.
+bool lacksUpdates(const update_position &since, const update_position &position)
+{
+    return lacksConfig(since, position) || position.fleet > since.fleet || position.members > since.members;
+}
+
 // State of one peer.
 struct peer_entry
 {
@@ -56,10 +79,10 @@
     bool busy = false;                              // an exchange is in progress
     bool failing = false;                           // the last exchange failed
     steady_time nextCall{};
-    steady_time lastReceived{}; // last state received from it, or when it was added
-    steady_time failedSince{};  // first of the consecutive failures
-    steady_time downUntil{};    // counts as down until then
-    update_position position;   // in the last state received from it
+    steady_time lastReceived{};              // last state received from it, or when it was added
+    steady_time failedSince{};               // first of the consecutive failures
+    steady_time downUntil{};                 // counts as down until then
+    std::optional<update_position> position; // in the last state received from it
     evidence_position evidence;
 };
 
@@ -76,6 +99,7 @@
     ~implementation() override;
 
     grpc::ServerUnaryReactor *exchange(grpc::CallbackServerContext *context, const wire::gateway_state *request, wire::gateway_state *reply) override;
+    grpc::ServerUnaryReactor *read_updates(grpc::CallbackServerContext *context, const wire::updates_request *request, wire::updates_part *reply) override;
     void start()
     {
         m_started = true;
@@ -95,13 +119,20 @@
     void round();
     void fillEvidence(wire::crash_evidence *message, const std::string &receiver);
     void takeEvidence(const wire::crash_evidence &message, std::uint64_t incarnation, evidence_position &position);
-    void fill(wire::gateway_state *message, const update_position &since, load_scope scope, const std::string &receiver);
+    void fill(wire::gateway_state *message, const std::optional<update_position> &since, load_scope scope, const std::string &receiver);
     mesh_links links(steady_time now) const;
     void connect(peer_entry &peer) const;
     void take(const wire::gateway_state &message);
     void call(const std::string &instance, peer_entry &peer);
     void handleReply(const std::string &instance, const grpc::Status &status, const outgoing_call &one);
     void countBytes(const char *direction, const wire::gateway_state &message);
+    void countUpdateBytes(const char *direction, std::size_t bytes);
+    void addUpdates(wire::gateway_state *message, const update_position &since, const update_position &until);
+    update_part findPart(const wire::updates_request &request);
+    void readUpdates(const std::string &instance);
+    void readPart(const std::string &instance);
+    void handlePart(const std::string &instance, const grpc::Status &status, const wire::updates_part &reply);
+    void importRead(const std::string &instance, const std::string &updates);
     void removeGonePeers(steady_time now);
 
     event_loop &m_loop;
@@ -110,6 +141,9 @@
     mesh_handler m_handler;
     std::map<std::string, peer_entry> m_peers; // loop thread only
     shared_load m_reports;                     // reports of the peers; loop thread only
+    update_source m_source;                    // updates that peers read; loop thread only
+    update_reader m_reader;                    // updates that are read from a peer; loop thread only
+    steady_time m_readBegan{};                 // when the present read began
     bool m_started = false;                    // the targets of the handler are ready
     steady_time m_lastReceived{};              // last state received from any peer
     int m_rank = -1;
@@ -124,6 +158,7 @@
     , m_counters(counters)
     , m_settings(settings)
     , m_handler(std::move(handler))
+    , m_source(settings.incarnation)
 {
     int port = 0;
     grpc::ServerBuilder builder;
@@ -168,7 +203,8 @@
     return reactor;
 }
 
-void mesh_node::implementation::fill(wire::gateway_state *message, const update_position &since, load_scope scope, const std::string &receiver)
+// `since` is the position of the receiver, if it is known.
+void mesh_node::implementation::fill(wire::gateway_state *message, const std::optional<update_position> &since, load_scope scope, const std::string &receiver)
 {
     peer_report own;
     own.instance = instance_id{m_settings.instance};
@@ -190,9 +226,27 @@
     message->set_lease_holder(known.lease.newest.holder);
     message->set_lease_holder_epoch(known.lease.newest.epoch.number);
     fillEvidence(message->mutable_evidence(), receiver);
-    const bool config = position.configVersion > since.configVersion && (since.wantsConfig || position.config > since.config);
-    if (config || position.fleet > since.fleet || position.members > since.members) {
-        message->set_news(m_handler.exportUpdates(since));
+    if (since && lacksUpdates(*since, position)) {
+        addUpdates(message, *since, position);
+    }
+}
+
+// Adds the updates that the receiver lacks, if they fit into one part: larger ones would delay the state, so the receiver reads them. A
+// large configuration does not hold up the others.
+void mesh_node::implementation::addUpdates(wire::gateway_state *message, const update_position &since, const update_position &until)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (const auto all = m_source.updates(since, until, now, [&] { return m_handler.exportUpdates(since); }); all->size() <= MAX_PART_BYTES) {
+        message->set_news(*all);
+        return;
+    }
+    update_position others = since;
+    others.configVersion = until.configVersion;
+    if (!lacksUpdates(others, until)) {
+        return;
+    }
+    if (const std::string updates = m_handler.exportUpdates(others); updates.size() <= MAX_PART_BYTES) {
+        message->set_news(updates);
     }
 }
 
@@ -240,7 +294,13 @@
     const lease_state lease{{{message.lease_epoch()}, message.lease_end()}, {message.lease_holder(), {message.lease_holder_epoch()}}};
     const peer_confirmations known{toConfirmation(message.config_confirmation()), toConfirmation(message.fleet_confirmation()),
                                    toConfirmation(message.coordinator_confirmation()), lease};
-    m_handler.onConfirmations(known, toUpdatePosition(message));
+    const update_position position = toUpdatePosition(message);
+    m_handler.onConfirmations(known, position);
+    const update_position own = m_handler.position();
+    const bool incomplete = message.news().empty() ? lacksUpdates(own, position) : lacksConfig(own, position);
+    if (incomplete && !m_reader.reading()) {
+        readUpdates(message.instance());
+    }
 }
 
 //-----------------------------------------------------------------------------
@@ -259,6 +319,7 @@
     }
     peer.address = member.address;
     peer.stub.reset();
+    peer.position.reset();
     peer.lastReceived = std::chrono::steady_clock::now();
     logLine(log_level::info, "peer_known", {{"peer", member.instance}, {"address", member.address}});
     m_counters.set("peers_known", static_cast<double>(m_peers.size()));
@@ -354,7 +415,12 @@
 {
     const std::size_t updates = message.news().size();
     m_counters.count("peer_bytes", {{"direction", direction}, {"content", "state"}}, static_cast<double>(message.ByteSizeLong() - updates));
-    m_counters.count("peer_bytes", {{"direction", direction}, {"content", "updates"}}, static_cast<double>(updates));
+    countUpdateBytes(direction, updates);
+}
+
+void mesh_node::implementation::countUpdateBytes(const char *direction, std::size_t bytes)
+{
+    m_counters.count("peer_bytes", {{"direction", direction}, {"content", "updates"}}, static_cast<double>(bytes));
 }
 
 void mesh_node::implementation::handleReply(const std::string &instance, const grpc::Status &status, const outgoing_call &one)
@@ -385,6 +451,111 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// Reading updates
+//-----------------------------------------------------------------------------
+
+grpc::ServerUnaryReactor *mesh_node::implementation::read_updates(grpc::CallbackServerContext *context, const wire::updates_request *request,
+                                                                  wire::updates_part *reply)
+{
+    grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+    m_loop.post([this, request, reply, reactor, alive = m_alive] {
+        if (!*alive || !m_started) {
+            reactor->Finish({grpc::StatusCode::UNAVAILABLE, m_started ? "stopping" : "starting"});
+            return;
+        }
+        update_part part = findPart(*request);
+        countUpdateBytes("sent", part.content.size());
+        reply->set_transfer(part.transfer);
+        reply->set_total(part.total);
+        reply->set_content(std::move(part.content));
+        reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+}
+
+update_part mesh_node::implementation::findPart(const wire::updates_request &request)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (std::optional<update_part> part = m_source.part(request.transfer(), request.offset(), now)) {
+        return *std::move(part);
+    }
+    const update_position since = toUpdatePosition(request.position());
+    const update_position position = m_handler.position();
+    if (!lacksUpdates(since, position)) {
+        return {};
+    }
+    return m_source.firstPart(since, position, now, [&] { return m_handler.exportUpdates(since); });
+}
+
+void mesh_node::implementation::readUpdates(const std::string &instance)
+{
+    m_reader.begin(instance);
+    m_readBegan = std::chrono::steady_clock::now();
+    readPart(instance);
+}
+
+// Asks for one part at a time, so that states of other peers pass between them.
+void mesh_node::implementation::readPart(const std::string &instance)
+{
+    const auto peer = m_peers.find(instance);
+    if (peer == m_peers.end()) {
+        m_reader.stop();
+        return;
+    }
+    if (!peer->second.stub) {
+        connect(peer->second);
+    }
+    const auto one = std::make_shared<part_call>();
+    one->context.set_deadline(std::chrono::system_clock::now() + PART_TIMEOUT);
+    toMessage(m_handler.position(), one->request.mutable_position());
+    one->request.set_transfer(m_reader.transfer());
+    one->request.set_offset(m_reader.offset());
+    ++m_pendingCalls;
+    peer->second.stub->async()->read_updates(&one->context, &one->request, &one->reply, [this, one, instance](const grpc::Status &status) {
+        m_loop.post([this, one, instance, status, alive = m_alive] {
+            if (*alive) {
+                handlePart(instance, status, one->reply);
+            }
+        });
+        --m_pendingCalls;
+    });
+}
+
+// After a failure the next state that offers updates begins another read, from that peer or where this one has stopped.
+void mesh_node::implementation::handlePart(const std::string &instance, const grpc::Status &status, const wire::updates_part &reply)
+{
+    if (!status.ok()) {
+        m_reader.stop();
+        m_counters.count("peer_update_reads", {{"result", "failed"}});
+        logLine(log_level::info, "updates_not_read", {{"peer", instance}, {"error", status.error_message()}, {"bytes", std::to_string(m_reader.offset())}});
+        return;
+    }
+    countUpdateBytes("received", reply.content().size());
+    try {
+        const std::optional<std::string> updates = m_reader.take({reply.transfer(), reply.total(), reply.content()});
+        if (updates) {
+            importRead(instance, *updates);
+        } else {
+            readPart(instance);
+        }
+    } catch (const std::invalid_argument &problem) {
+        m_counters.count("peer_update_reads", {{"result", "malformed"}});
+        logLine(log_level::warning, "updates_not_read", {{"peer", instance}, {"error", problem.what()}, {"bytes", "0"}});
+    }
+}
+
+void mesh_node::implementation::importRead(const std::string &instance, const std::string &updates)
+{
+    m_counters.count("peer_update_reads", {{"result", "ok"}});
+    if (updates.empty()) {
+        return; // what was offered has arrived from elsewhere
+    }
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_readBegan);
+    logLine(log_level::info, "updates_read", {{"peer", instance}, {"bytes", std::to_string(updates.size())}, {"ms", std::to_string(elapsed.count())}});
+    m_handler.importUpdates(updates);
+}
+
 mesh_node::mesh_node(event_loop &loop, metrics &counters, const mesh_settings &settings, mesh_handler handler)
     : m_impl(std::make_unique<implementation>(loop, counters, settings, std::move(handler)))
 {
--- a/src/mesh/state_message.cpp
+++ b/src/mesh/state_message.cpp
@@ -20,6 +20,30 @@
     return static_cast<enumeration>(std::min(value, static_cast<std::uint32_t>(last)));
 }
 
+// A state and a request for updates have the same fields of a position.
+template <typename message_type>
+void fillPosition(const update_position &position, message_type *message)
+{
+    message->set_config_version(position.configVersion);
+    message->set_config_epoch(position.config.epoch.number);
+    message->set_config_offset(position.config.offset);
+    message->set_fleet_epoch(position.fleet.epoch.number);
+    message->set_fleet_offset(position.fleet.offset);
+    message->set_member_epoch(position.members.epoch.number);
+    message->set_member_offset(position.members.offset);
+    message->set_wants_config(position.wantsConfig);
+}
+
+template <typename message_type>
+update_position readPosition(const message_type &message)
+{
+    return {message.config_version(),
+            {{message.config_epoch()}, message.config_offset()},
+            {{message.fleet_epoch()}, message.fleet_offset()},
+            {{message.member_epoch()}, message.member_offset()},
+            message.wants_config()};
+}
+
 }
 
 void toMessage(const peer_report &report, wire::gateway_state *message)
@@ -55,23 +79,22 @@
 
 void toMessage(const update_position &position, wire::gateway_state *message)
 {
-    message->set_config_version(position.configVersion);
-    message->set_config_epoch(position.config.epoch.number);
-    message->set_config_offset(position.config.offset);
-    message->set_fleet_epoch(position.fleet.epoch.number);
-    message->set_fleet_offset(position.fleet.offset);
-    message->set_member_epoch(position.members.epoch.number);
-    message->set_member_offset(position.members.offset);
-    message->set_wants_config(position.wantsConfig);
+    fillPosition(position, message);
+}
+
+void toMessage(const update_position &position, wire::update_position *message)
+{
+    fillPosition(position, message);
 }
 
 update_position toUpdatePosition(const wire::gateway_state &message)
 {
-    return {message.config_version(),
-            {{message.config_epoch()}, message.config_offset()},
-            {{message.fleet_epoch()}, message.fleet_offset()},
-            {{message.member_epoch()}, message.member_offset()},
-            message.wants_config()};
+    return readPosition(message);
+}
+
+update_position toUpdatePosition(const wire::update_position &message)
+{
+    return readPosition(message);
 }
 
 peer_report toReport(const wire::gateway_state &message, steady_time now)
--- a/src/mesh/state_message.h
+++ b/src/mesh/state_message.h
@@ -21,5 +21,7 @@
 
 void toMessage(const update_position &position, chestnutgw::wire::gateway_state *message);
 update_position toUpdatePosition(const chestnutgw::wire::gateway_state &message);
+void toMessage(const update_position &position, chestnutgw::wire::update_position *message);
+update_position toUpdatePosition(const chestnutgw::wire::update_position &message);
 
 }
--- a/tests/peer_update_test.cpp
+++ b/tests/peer_update_test.cpp
@@ -15,17 +15,20 @@
     event_loop loop("test");
     const auto port = plugin_registry<platform_port, event_loop &, const std::string &, metrics &>::instance().make("log-store", loop, store.url(), counters);
     const std::string hugeArray("\x9b\xff\xff\xff\xff\xff\xff\xff\xfe", 9);
-    const std::string hugeString("\xa1\x66"
-                                 "config"
+    const std::string hugeString("\xa1\x6b"
+                                 "config_text"
                                  "\x7b\x7f\xff\xff\xff\xff\xff\xff\xff",
-                                 17);
+                                 22);
     const std::string deep(1'000'000, '\x81');
-    const std::string wrongTypes = "\xa2\x66"
-                                   "config"
+    const std::string wrongTypes = "\xa2\x6b"
+                                   "config_text"
                                    "\x05\x67"
                                    "servers"
                                    "\x80";
-    for (const std::string &bytes : {std::string(), std::string("\xff"), hugeArray, hugeString, wrongTypes, deep}) {
+    const std::string noValue = "\xa1\x6b"
+                                "config_text"
+                                "\xa0";
+    for (const std::string &bytes : {std::string(), std::string("\xff"), hugeArray, hugeString, wrongTypes, noValue, deep}) {
         CAPTURE(bytes.size());
         CHECK_NOTHROW(port->importUpdates(bytes));
     }
