--- a/tests/keyed_follower_test.cpp
+++ b/tests/keyed_follower_test.cpp
@@ -13,6 +13,9 @@
 {
 
 constexpr const char *TOPIC = "keyed.servers";
+constexpr std::uint64_t PEER = 7; // origin of its confirmations
+constexpr milliseconds NEVER_OLD{60'000};
+constexpr milliseconds NOTICE_LIMIT{3000}; // from the return of the store until the first rank knows of it
 
 log_position knownTo(followed_topic &topic)
 {
@@ -45,3 +48,24 @@
     CHECK(restarted.size() == 3);
     CHECK(knownTo(restarted) == knownTo(peer));
 }
+
+TEST_CASE("a store that is back is noticed although peers confirm that nothing is missing", "[unit]")
+{
+    store_standin store;
+    store.setEpochHeader({});
+    followed_topic topic(store);
+    REQUIRE(eventually([&] { return store.calls("/log-read") > 0; }));
+    const auto unreachable = [&] {
+        bool lost = false;
+        topic.loop.run([&] { lost = topic.follower.unreachable(); });
+        return lost;
+    };
+    store.setFault(0, store_fault::reset);
+    REQUIRE(eventually(unreachable));
+    topic.loop.run([&] {
+        topic.follower.setMaxConfirmationAge(NEVER_OLD);
+        topic.follower.confirm({PEER, 1, milliseconds(0)}, {}, std::chrono::steady_clock::now());
+    });
+    store.setFault(0, store_fault::none);
+    CHECK(eventually([&] { return !unreachable(); }, NOTICE_LIMIT));
+}
