--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -33,7 +33,7 @@
 constexpr milliseconds ISOLATED_AFTER{2000};       // without a state of any peer, an instance acts as if it were the first one
 constexpr milliseconds PEER_REMOVAL_DELAY{60'000}; // a peer that has failed for this long is removed
 
-// An outgoing call, kept alive until its callback has run.
+// An outgoing exchange, kept alive until its callback has run.
 struct outgoing_call
 {
     grpc::ClientContext context;
@@ -58,16 +58,16 @@
     std::uint64_t known = 0;       // revision of this instance up to which the peer has its evidence
 };
 
-// True if an instance at the first position lacks a configuration that one at the second can pass on.
-bool lacksConfig(const update_position &since, const update_position &position)
+// True if a receiver lacks a configuration that a sender can pass on.
+bool lacksConfig(const update_position &receiver, const update_position &sender)
 {
-    return position.configVersion > since.configVersion && (since.wantsConfig || position.config > since.config);
+    return sender.configVersion > receiver.configVersion && (receiver.wantsConfig || sender.config > receiver.config);
 }
 
-// The same for any updates.
-bool lacksUpdates(const update_position &since, const update_position &position)
+// True if a receiver lacks any updates that a sender can pass on.
+bool lacksUpdates(const update_position &receiver, const update_position &sender)
 {
-    return lacksConfig(since, position) || position.fleet > since.fleet || position.members > since.members;
+    return lacksConfig(receiver, sender) || sender.fleet > receiver.fleet || sender.members > receiver.members;
 }
 
 // State of one peer.
@@ -296,7 +296,7 @@
                                    toConfirmation(message.coordinator_confirmation()), lease};
     const update_position position = toUpdatePosition(message);
     m_handler.onConfirmations(known, position);
-    const update_position own = m_handler.position();
+    const update_position own = m_handler.position(); // after the import of what the message carried
     const bool incomplete = message.news().empty() ? lacksUpdates(own, position) : lacksConfig(own, position);
     if (incomplete && !m_reader.reading()) {
         readUpdates(message.instance());
--- a/src/mesh/update_transfer.h
+++ b/src/mesh/update_transfer.h
@@ -1,12 +1,12 @@
 #pragma once
 
-// Transfers updates between instances in parts, apart from their states: which parts an instance keeps for its peers, and what it has of
-// the updates that it reads itself. Does no I/O.
+// Transfers updates between instances in parts, apart from their states: update_source keeps those that peers read, update_reader holds
+// what has arrived of those that this instance reads. Does no I/O.
 //
-// Designed for many instances on slow links that all lack the same large configuration. Carried by states, it would make each exchange
-// fail that it takes too long for, and every partner would send it anew from its first byte, for as long as it is missing. Here the
-// reader asks one peer at a time, for the next part once it has the one before. So no byte is sent twice, a link carries at most one part
-// for each reader, and states pass between the parts.
+// Designed for many instances on slow links that all lack the same large configuration. Carried by states, it would exceed their time
+// limit, and every partner would send it anew from its first byte, for as long as it is missing. Here the reader asks one peer at a time,
+// for the next part once it has the one before. So no byte is sent twice, a link carries at most one part for each reader, and states
+// pass between the parts.
 
 #include "kernel/ids.h"
 #include "mesh/update_position.h"
@@ -18,7 +18,7 @@
 namespace chestnut
 {
 
-constexpr std::size_t MAX_PART_BYTES = 8 * 1024; // about as large as the state of an instance before a hundred servers
+constexpr std::size_t MAX_PART_BYTES = 8 * 1024; // a state that covers a hundred servers is about as large
 
 struct update_part
 {
@@ -38,7 +38,7 @@
         : m_lastTransfer(incarnation << PROCESS_SHIFT)
     {
     }
-    // Updates that lead from one position to another. Those that do not fit into one part are kept, and exported once for all peers.
+    // Updates that lead from one position to another. If they do not fit into one part they are kept, and exported once for all peers.
     std::shared_ptr<const std::string> updates(const update_position &since, const update_position &until, steady_time now, const exporter &make);
     // First part of such updates.
     update_part firstPart(const update_position &since, const update_position &until, steady_time now, const exporter &make);
