--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -604,7 +604,7 @@
 
 //-- Plain servers --
 
-// A server of the service "app": registers itself, serves requests for it, one at a time on a connection.
+// A server of a plain service: registers itself, serves requests, one at a time on a connection.
 class plain_server
 {
 public:
@@ -616,9 +616,10 @@
         std::string request;
     };
 
-    plain_server(store &known, std::string id, int workMs = 10)
+    plain_server(store &known, std::string id, int workMs = 10, std::string service = "app")
         : m_store(known)
         , m_id(std::move(id))
+        , m_service(std::move(service))
         , m_workMs(workMs)
         , m_born(static_cast<long long>(std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch()).count()))
         , m_http([this](int fd, const message &request) { return answer(fd, request); })
@@ -636,6 +637,10 @@
     {
         return m_id;
     }
+    std::string address() const
+    {
+        return m_http.address();
+    }
     // Leaves without a report: its entry is removed, and it goes on serving.
     void removeEntry()
     {
@@ -664,7 +669,7 @@
         }
         ++m_sequence;
         m_store.put("keyed.servers", m_id,
-                    "{\"Service\":\"app\",\"Address\":\"" + m_http.address() + "\",\"Zone\":\"a\",\"Version\":\"v1\",\"BatchSlots\":6,\"State\":\"ready\","
+                    "{\"Service\":\"" + m_service + "\",\"Address\":\"" + m_http.address() + "\",\"Zone\":\"a\",\"Version\":\"v1\",\"BatchSlots\":6,\"State\":\"ready\","
                         "\"ColdLeftMs\":0,\"Sequence\":" + std::to_string(m_sequence) + ",\"born\":" + std::to_string(m_born) + "}");
     }
     long sequence()
@@ -711,6 +716,7 @@
 
     store &m_store;
     std::string m_id;
+    std::string m_service;
     int m_workMs;
     long long m_born;
     std::mutex m_mutex; // guards the members below up to m_runs
@@ -724,16 +730,17 @@
 
 //-- Gateways --
 
-// A configuration with one plain service and a route of each kind for it.
+// A configuration with two plain services: a route of each kind for "app", one for "other".
 inline std::string plainConfig(int version)
 {
-    const auto route = [](const char *name, const char *kind, int attempts) {
+    const auto route = [](const char *name, const char *kind, int attempts, const char *service = "app") {
         return std::string("{\"Name\":\"") + name + "\",\"Hostname\":\"h.example\",\"PathPrefix\":\"/" + name + "/\",\"RouteType\":\"" + kind
-            + "\",\"TimeoutMs\":3000,\"LatencyGoalMs\":300,\"Service\":\"app\",\"MaxAttempts\":" + std::to_string(attempts)
+            + "\",\"TimeoutMs\":3000,\"LatencyGoalMs\":300,\"Service\":\"" + service + "\",\"MaxAttempts\":" + std::to_string(attempts)
             + ",\"Priority\":1,\"Anonymous\":false,\"Affinity\":false}";
     };
-    return "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + route("once", "non_idempotent", 1) + "," + route("safe", "safe", 2)
-        + "],\"Services\":[{\"Name\":\"app\",\"HealthPath\":\"/health\",\"MaxConns\":100,\"Protocol\":\"h1\",\"Tls\":false}],"
+    return "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + route("once", "non_idempotent", 1) + "," + route("safe", "safe", 2) + "," + route("other", "safe", 2, "other")
+        + "],\"Services\":[{\"Name\":\"app\",\"HealthPath\":\"/health\",\"MaxConns\":100,\"Protocol\":\"h1\",\"Tls\":false},"
+          "{\"Name\":\"other\",\"HealthPath\":\"/health\",\"MaxConns\":100,\"Protocol\":\"h1\",\"Tls\":false}],"
           "\"Limits\":{\"HeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
           "\"Tenants\":[{\"Name\":\"t1\",\"ApiKeys\":[\"key1\"],\"Priority\":1}]}";
 }
