Review case 14: after an entry of another writer a gateway ignores that a server drains

Cause: the adapter notes start and heartbeat count of entries that name no server, so that the server's own heartbeats count as outdated.

--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -649,6 +649,16 @@
         m_store.put("keyed.servers", m_id, "");
         record("server %s: its entry is removed", m_id.c_str());
     }
+    // Reports that it drains; the store has accepted that when this returns.
+    void drain()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_state = "draining";
+        }
+        heartbeat();
+        record("server %s: the store has accepted that it drains", m_id.c_str());
+    }
     // Sends no heartbeats any more; what the store has stays there.
     void leaveSilently()
     {
@@ -669,7 +679,7 @@
         }
         ++m_sequence;
         m_store.put("keyed.servers", m_id,
-                    "{\"Service\":\"" + m_service + "\",\"Address\":\"" + m_http.address() + "\",\"Zone\":\"a\",\"Version\":\"v1\",\"BatchSlots\":6,\"State\":\"ready\","
+                    "{\"Service\":\"" + m_service + "\",\"Address\":\"" + m_http.address() + "\",\"Zone\":\"a\",\"Version\":\"v1\",\"BatchSlots\":6,\"State\":\"" + m_state + "\","
                         "\"ColdLeftMs\":0,\"Sequence\":" + std::to_string(m_sequence) + ",\"born\":" + std::to_string(m_born) + "}");
     }
     long sequence()
@@ -721,6 +731,7 @@
     long long m_born;
     std::mutex m_mutex; // guards the members below up to m_runs
     bool m_registered = true;
+    std::string m_state = "ready";
     long m_sequence = 0;
     std::vector<run> m_runs;
     std::atomic<bool> m_beating{true};
