--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -687,6 +687,11 @@
         const std::lock_guard<std::mutex> lock(m_mutex);
         return m_sequence;
     }
+    // Of its runs, this many in ten end with a failure: 503, without X-Chestnutgw-Not-Executed.
+    void failOften(int inTen)
+    {
+        m_failing = inTen;
+    }
     std::vector<run> runs()
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -720,6 +725,10 @@
         }
         record("server %s runs request %s", m_id.c_str(), number.c_str());
         sleepMs(m_workMs);
+        if (static_cast<int>(++m_worked * 7 % 10) < m_failing) {
+            record("server %s: the run of request %s fails, 503", m_id.c_str(), number.c_str());
+            return sendAll(fd, "HTTP/1.1 503 Service Unavailable\r\n" + common + "Content-Length: 0\r\n\r\n");
+        }
         const std::string body = "done by " + m_id + " for " + number;
         return sendAll(fd, "HTTP/1.1 200 OK\r\n" + common + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
@@ -735,6 +744,8 @@
     long m_sequence = 0;
     std::vector<run> m_runs;
     std::atomic<bool> m_beating{true};
+    std::atomic<int> m_failing{0};
+    std::atomic<unsigned> m_worked{0};
     http_server m_http;
     std::thread m_heartbeats;
 };
